Take servers' answers in their whole form alone, and never reuse a stained connection

The log showed no fault, only answers that passed.

Checked with scripted peers: a second copy right behind an answer was read, after ReadyForQuery, as the answer to the attempt that ServerPool.free had already put on the connection (ServerConnection.received went on parsing); two columns, a wrong inner length and messages out of order passed as served (Reply.result looked only at which messages had come); a load report that could not be read spoilt a good answer; noise whose head promised a long message was waited on until the time-out.

Now Reply walks through the protocol's order and checks each message's inner form, the total is bounded, types and lengths are refused by a message's head, and an unreadable report is dropped and counted. A connection with a byte left over, or that has one unread at reuse, is closed.

--- a/src/main/java/frostreel/net/ClientConnection.java
+++ b/src/main/java/frostreel/net/ClientConnection.java
@@ -30,7 +30,7 @@
     private final Loop loop;
     private final Listener listener;
     private final Stream stream;
-    private final MessageReader reader = new MessageReader(MOST_BYTES);
+    private final MessageReader reader = new MessageReader(ClientConnection::longest);
     long slot;
     private Phase phase = Phase.STARTUP;
     private boolean busy;
@@ -44,6 +44,10 @@
         stream = new Stream(loop, connection, this);
     }
 
+    private static int longest(byte type) {
+        return "QPBEDCFSHX".indexOf(type) >= 0 ? MOST_BYTES : -1;
+    }
+
     void begin() {
         stream.resumeReads();
     }
@@ -117,15 +121,12 @@
             if (type == 'S') {
                 stream.write(Messages.readyForQuery());
             }
-        } else if ("PBEDC".indexOf(type) >= 0) {
+        } else {
             if (!skipsToSync) {
                 loop.counters().malformed++;
                 stream.write(Messages.error(false, Messages.NOT_SUPPORTED, "only simple queries", null));
             }
             skipsToSync = true;
-        } else {
-            loop.counters().malformed++;
-            fatal(Messages.PROTOCOL_VIOLATION, "a message of unknown type");
         }
     }
 
--- a/src/main/java/frostreel/net/ServerConnection.java
+++ b/src/main/java/frostreel/net/ServerConnection.java
@@ -20,18 +20,16 @@
     private enum Phase { CONNECTING, STARTUP, IDLE, BUSY, CLOSED }
 
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
-    /** A value of 64 KiB, also as text, with room to spare. */
-    private static final int MOST_BYTES = 1 << 18;
     final ServerPool.Server server;
     final InetSocketAddress address;
     long handle;
     private final Loop loop;
     private final ServerPool pool;
-    private final MessageReader reader = new MessageReader(MOST_BYTES);
+    private final MessageReader reader = new MessageReader(Reply::longest);
     private Phase phase = Phase.CONNECTING;
     private IoFuture<StreamConnection> connecting;
     private Stream stream;
-    private Reply reply = new Reply();
+    private Reply reply = Reply.toStartup();
     private ServerPool.Attempt attempt;
     private Deadlines.Deadline deadline;
 
@@ -67,14 +65,23 @@
         stream.resumeReads();
     }
 
-    /** Runs an attempt on a clean connection. */
-    void run(ServerPool.Attempt a) {
+    /**
+     * Runs an attempt, where the connection is clean: a byte that came since the last answer's end belongs to
+     * no request, and would be read as the beginning of this one's answer.
+     */
+    boolean run(ServerPool.Attempt a) {
+        if (!stream.quiet()) {
+            loop.counters().strayBytes++;
+            close();
+            return false;
+        }
         loop.deadlines().cancel(deadline);
         phase = Phase.BUSY;
         attempt = a;
         a.on = this;
-        reply = new Reply();
+        reply = Reply.toQuery();
         stream.write(a.query);
+        return true;
     }
 
     void rest(long idleUs) {
@@ -87,13 +94,20 @@
     }
 
     @Override public void received(ByteBuffer in) {
+        if (phase == Phase.IDLE) {
+            loop.counters().strayBytes++;
+            close();
+            return;
+        }
         reader.feed(in);
         try {
-            while (phase != Phase.CLOSED && reader.next()) {
+            boolean whole = false;
+            while (!whole && reader.next()) {
                 reply.accept(reader);
-                if (reply.ended()) {
-                    ended(reply);
-                }
+                whole = reply.ended();
+            }
+            if (whole) {
+                answered(reply);
             }
         } catch (PgException e) {
             loop.counters().malformed++;
@@ -101,18 +115,20 @@
         }
     }
 
-    private void ended(Reply whole) throws PgException {
-        reply = new Reply();
-        if (phase == Phase.STARTUP && whole.errorCode() == null) {
+    /** Takes the whole answer; with a byte behind it, the connection is not used again. */
+    private void answered(Reply whole) {
+        boolean clean = whole.ready() && reader.buffered() == 0;
+        if (whole.ready() && !clean) {
+            loop.counters().strayBytes++;
+        }
+        if (phase == Phase.STARTUP && (whole.errorCode() != null || !clean)) {
+            fail(whole.result(false).outcome() == Outcome.FULL ? Outcome.FULL : Outcome.CONNECT_FAILED);
+        } else if (!clean) {
+            end(result(whole, !whole.ready()));
+        } else if (phase == Phase.STARTUP) {
             loop.deadlines().cancel(deadline);
             phase = Phase.IDLE;
             pool.opened(this);
-        } else if (phase == Phase.STARTUP) {
-            fail(whole.result(false).outcome() == Outcome.FULL ? Outcome.FULL : Outcome.CONNECT_FAILED);
-        } else if (phase == Phase.IDLE) {
-            close();
-        } else if (!whole.ready()) {
-            end(result(whole, true));
         } else {
             ServerPool.Attempt done = attempt;
             BackEnd.Result result = result(whole, false);
@@ -123,8 +139,10 @@
         }
     }
 
-    private BackEnd.Result result(Reply whole, boolean broken) throws PgException {
-        return attempt.probe ? whole.probeResult(broken) : whole.result(broken);
+    private BackEnd.Result result(Reply whole, boolean broken) {
+        BackEnd.Result result = attempt.probe ? whole.probeResult(broken) : whole.result(broken);
+        loop.counters().unreadReports += whole.unread();
+        return result;
     }
 
     @Override public void ended() {
--- a/src/main/java/frostreel/net/ServerPool.java
+++ b/src/main/java/frostreel/net/ServerPool.java
@@ -112,10 +112,10 @@
             finish(a, Result.of(Outcome.CONNECT_FAILED));
             return a;
         }
-        ServerConnection c = s.idle.pollFirst();
-        if (c != null) {
-            c.run(a);
-            return a;
+        for (ServerConnection c = s.idle.pollFirst(); c != null; c = s.idle.pollFirst()) {
+            if (c.run(a)) {
+                return a;
+            }
         }
         s.waiting.add(a);
         if (connections.full()) {
@@ -172,9 +172,11 @@
     /** A connection is clean and free: it takes the attempt that has waited longest, or rests. */
     void free(ServerConnection c) {
         Server s = c.server;
-        Attempt next = s.waiting.pollFirst();
+        Attempt next = s.waiting.peekFirst();
         if (next != null) {
-            c.run(next);
+            if (c.run(next)) {
+                s.waiting.pollFirst();
+            }
         } else if (s.usable && c.address.equals(s.address)) {
             s.idle.addFirst(c);
             c.rest(idleUs);
--- a/src/main/java/frostreel/net/Stream.java
+++ b/src/main/java/frostreel/net/Stream.java
@@ -133,6 +133,15 @@
         }
     }
 
+    /** Whether the other side neither sent what is still unread nor ended; what is read here is lost. */
+    boolean quiet() {
+        try {
+            return !closed && source.read(loop.readBuffer()) == 0;
+        } catch (IOException e) {
+            return false;
+        }
+    }
+
     /** Whether all that was written is, or at its end was, with the socket. */
     public boolean flushed() {
         return output.isEmpty();
--- a/src/main/java/frostreel/pg/MessageReader.java
+++ b/src/main/java/frostreel/pg/MessageReader.java
@@ -6,10 +6,15 @@
 
 /** Cuts a byte stream, however it was split, into messages; owns the bytes not yet taken. */
 public final class MessageReader {
+    /** The longest body accepted of a message, by its type; negative for a type that is not accepted. */
+    public interface Bounds {
+        int longest(byte type);
+    }
+
     private static final int SMALL = 2048;
     private static final int HEADER = 5;
     private static final int STARTUP_MOST = 10_000;
-    private final int most;
+    private final Bounds bounds;
     private byte[] buffer = new byte[SMALL];
     private int from;
     private int to;
@@ -17,9 +22,8 @@
     private int bodyFrom;
     private int bodyTo;
 
-    /** {@code most}: the longest body accepted. */
-    public MessageReader(int most) {
-        this.most = most;
+    public MessageReader(Bounds bounds) {
+        this.bounds = bounds;
     }
 
     public void feed(ByteBuffer in) {
@@ -54,7 +58,12 @@
         if (buffered() < HEADER) {
             return false;
         }
-        return take(1, most);
+        // By the head alone: noise must not be waited on for the rest of a message that it seems to begin.
+        int longest = bounds.longest(buffer[from]);
+        if (longest < 0) {
+            throw new PgException("a message of unknown type");
+        }
+        return take(1, longest);
     }
 
     /** The same for a startup message, which has no type. */
--- a/src/main/java/frostreel/stats/Counters.java
+++ b/src/main/java/frostreel/stats/Counters.java
@@ -10,6 +10,8 @@
     public long clientsClosed;
     public long clientsGone;
     public long malformed;
+    public long strayBytes;
+    public long unreadReports;
     public long crowdedOut;
     public long requests;
     public long served;
@@ -33,7 +35,8 @@
     /** One line, names and values. */
     @Override public String toString() {
         return "clients_accepted=" + clientsAccepted + " clients_closed=" + clientsClosed + " clients_gone="
-                + clientsGone + " malformed=" + malformed + " crowded_out=" + crowdedOut
+                + clientsGone + " malformed=" + malformed + " stray_bytes=" + strayBytes
+                + " unread_reports=" + unreadReports + " crowded_out=" + crowdedOut
                 + " requests=" + requests + " served=" + served
                 + " refused=" + refused + " failed=" + failed + " overdue=" + overdue + " attempts="
                 + attempts
--- a/src/test/java/frostreel/ServingTest.java
+++ b/src/test/java/frostreel/ServingTest.java
@@ -180,6 +180,54 @@
         }
     }
 
+    @Test void whatComesBehindAnAnswerIsNeverTakenForTheNextOne() throws Exception {
+        replica.script = (text, link) -> {
+            byte[] row = row(text.replaceAll(".*id=(\\w+),.*", "$1").replace("|", ""), "replica");
+            link.send(row, Stage.READY, row, Stage.READY);
+        };
+        primary.script = replica.script;
+        start();
+        try (Stage.Link c = stage.client()) {
+            for (int i = 0; i < 20; i++) {
+                assertThat(value(c.ask(look("id" + i, 9000)))).isEqualTo("id" + i);
+            }
+            assertThat(stage.pooler.counters()).contains("stray_bytes=20 ");
+        }
+    }
+
+    @Test void aSpoiltAnswerHasFailedAndIsTriedElsewhereAtOnce() throws Exception {
+        byte[] good = row("spoilt", "replica");
+        byte[] twoColumns = good.clone();
+        twoColumns[6] = 2;
+        byte[] tooLong = new String(good, java.nio.charset.StandardCharsets.ISO_8859_1).replace("\6spoilt",
+                "\7spoilt").getBytes(java.nio.charset.StandardCharsets.ISO_8859_1);
+        assertThat(tooLong).isNotEqualTo(good);
+        List<byte[]> spoilt = List.of(twoColumns, tooLong, new byte[] {'D', 127, -1, -1, -1},
+                new byte[] {'%', 0, 0, 1, 0}, Stage.bytes('C', "SELECT 1|"),
+                Stage.bytes('E', "Cunended"), Stage.bytes('Z', "II"));
+        start();
+        try (Stage.Link c = stage.client()) {
+            for (byte[] answer : spoilt) {
+                replica.script = (text, link) -> link.send(answer, Stage.READY);
+                List<String> got = c.ask(look("1", 9000));
+                assertThat(got).as("%s", new String(answer)).hasSize(3);
+                assertThat(value(got)).isEqualTo("from-primary");
+                assertThat(replica.ended.take()).isEqualTo("ended");
+            }
+        }
+    }
+
+    @Test void aReportThatCannotBeReadIsDroppedAndTheValueServed() throws Exception {
+        replica.script = (text, link) -> link.send(row("good", "replica"),
+                Stage.bytes('S', "load|x0=,util=?|"),
+                Stage.bytes('S', "applied_ms|soon|"), Stage.bytes('S', "unended"), Stage.READY);
+        start();
+        try (Stage.Link c = stage.client()) {
+            assertThat(value(c.ask(look("1", 9000)))).isEqualTo("good");
+            assertThat(stage.pooler.counters()).contains("unread_reports=3 ").contains("malformed=0 ");
+        }
+    }
+
     @Test void aSlowReaderGetsEveryValueWholeAndInOrder() throws Exception {
         String large = "x".repeat(60_000);
         replica.script = rows(large, "replica");
--- a/src/test/java/frostreel/Stage.java
+++ b/src/test/java/frostreel/Stage.java
@@ -307,7 +307,7 @@
     /** A server's row with its role, without ReadyForQuery. */
     static byte[] row(String value, String role) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
-        out.writeBytes(bytes('T', "description"));
+        out.writeBytes(bytes('T', "\0\1v|" + "|".repeat(18)));
         out.writeBytes(bytes('D', "\0\1" + "\0\0" + (char) (value.length() >> 8)
                 + (char) (value.length() & 255) + value));
         out.writeBytes(bytes('C', "SELECT 1|"));
