Keep no place for clients that ask nothing, and let none of their statements go on

Lines at fault: ClientConnection had no deadline before its first request or within a message, and such clients were not among those that Listener.makeRoom may close; Statement.parse passed on any text that ends with a comment, a read under a class of writes and an id of another's open request included; fatal closed with input unread. Ruled out: running out of descriptors (284 of 384) and of memory.

Now a whole message is owed within 2.3 s, else the client is told and closed; near the cap silent clients go first, then those idle for over 2 s; a statement must have one of the two forms in full and fit its class; the id of an open request is answered with an error; a row of faults ends the connection; a fatal error is followed by a short reading of what is still coming, so that no reset swallows it.

--- a/src/main/java/frostreel/Pooler.java
+++ b/src/main/java/frostreel/Pooler.java
@@ -41,7 +41,7 @@
                 config.maxOpen(), Brain::new);
         longestUs = config.settings().classes().stream().mapToLong(Router.RequestClass::deadlineUs).max()
                 .orElse(0);
-        listener = new Listener(loop, broker, config.classNumbers(), config.maxClients());
+        listener = new Listener(loop, broker, config.settings().classes(), config.maxClients());
         watch = new Watch(loop, config.discovery(), config.zones(), config.kinds(), this::listed);
         loop.thread().execute(() -> start(config));
     }
--- a/src/main/java/frostreel/broker/Broker.java
+++ b/src/main/java/frostreel/broker/Broker.java
@@ -17,8 +17,8 @@
  * end hands in opaque bytes, a {@link BackEnd} reports outcomes. It runs on the I/O thread alone.
  */
 public final class Broker implements Router.Actions {
-    /** What the decisions need of a request. */
-    public record Ask(int cls, long session, int group, long deadlineUs, long sinceWriteUs,
+    /** What the decisions need of a request; {@code id} is its own name, as its sender gave it. */
+    public record Ask(String id, int cls, long session, int group, long deadlineUs, long sinceWriteUs,
     boolean repeated) {}
 
     private static final class Entry {
@@ -53,6 +53,7 @@
     private final int maxAttempts;
     private final SlotTable<Entry> requests;
     private final Set<Integer> groups = new HashSet<>();
+    private final Set<String> ids = new HashSet<>();
     private final ArrayDeque<Runnable> events = new ArrayDeque<>();
     private boolean inEvent;
 
@@ -96,6 +97,11 @@
 
     // ---- From the front end and from discovery. ----
 
+    /** Whether a request of that name is open, or an attempt of it still out: another would be a second. */
+    public boolean holds(String id) {
+        return ids.contains(id);
+    }
+
     /** Takes a request; its caller may be answered before this returns. */
     public long submit(Ask ask, Payload payload, Caller caller) {
         counters.requests++;
@@ -107,6 +113,7 @@
             caller.refused(0);
             return SlotTable.NONE;
         }
+        ids.add(ask.id());
         r.id = Long.toString(r.handle);
         r.overdue = deadlines.at(ask.deadlineUs() + OVERDUE_US, () -> event(() -> overdue(r)));
         event(() -> router.onRequest(clock.now(), new Router.Request(r.id, ask.cls(), ask.session(),
@@ -151,6 +158,7 @@
     private void release(Entry r) {
         if (r.answered && r.inFlight == SlotTable.NONE) {
             requests.remove(r.handle);
+            ids.remove(r.ask.id());
         }
     }
 
--- a/src/main/java/frostreel/config/Config.java
+++ b/src/main/java/frostreel/config/Config.java
@@ -4,7 +4,6 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.json.JSONException;
@@ -20,7 +19,7 @@
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int maxClients,
         int maxServerConnections, int maxOpen, HostList known, List<Object> zones, List<Object> kinds,
-        Map<String, Integer> classNumbers, Router.Settings settings) {
+        Router.Settings settings) {
     private static final int DEFAULT_SOCKETS = 1024;
     /** Descriptors for the program itself: its jar, selectors, the listener, discovery, a margin. */
     private static final int OWN_SOCKETS = 64;
@@ -53,10 +52,6 @@
         int maxServers = sockets / 4;
         Fields options = f.object("settings");
         Router.Settings settings = SettingsReader.read(seed(f), options);
-        Map<String, Integer> classNumbers = new HashMap<>();
-        for (int i = 0; i < settings.classes().size(); i++) {
-            classNumbers.put(settings.classes().get(i).name(), i);
-        }
         List<Object> zones = options.has("zones") ? options.list("zones") : List.of();
         List<Object> kinds = options.has("machineTypes") ? options.list("machineTypes") : List.of();
         Fields caps = options.object("caps");
@@ -66,8 +61,7 @@
         return new Config(told(f, "name", environment, "GW_NAME"),
                 HostList.address(told(f, "listen", environment, "GW_LISTEN"), "listen"),
                 HostList.address(told(f, "discovery", environment, "GW_DISCOVERY"), "discovery"),
-                sockets - maxServers, maxServers, maxOpen, known, zones, kinds, Map.copyOf(classNumbers),
-                settings);
+                sockets - maxServers, maxServers, maxOpen, known, zones, kinds, settings);
     }
 
     /** The environment's word goes first. */
--- a/src/main/java/frostreel/net/ClientConnection.java
+++ b/src/main/java/frostreel/net/ClientConnection.java
@@ -2,6 +2,7 @@
 
 import frostreel.broker.Broker;
 import frostreel.broker.Caller;
+import frostreel.broker.Deadlines;
 import frostreel.broker.SlotTable;
 import frostreel.pg.MessageReader;
 import frostreel.pg.Messages;
@@ -14,15 +15,26 @@
 
 /**
  * One client's connection: takes its queries one after another, and writes each one's answer in their order.
+ * One that does not come to ask is told so and closed, as it holds a place that others need.
  */
 final class ClientConnection implements Stream.Handler, Caller {
-    private enum Phase { STARTUP, RUNNING, CLOSED }
+    private enum Phase { STARTUP, RUNNING, LINGERING, CLOSED }
 
     private static final byte[] SHOW_STATS = "SHOW stats\0".getBytes(StandardCharsets.US_ASCII);
     /** The longest query: a value of 64 KiB written as text, twice as long, with room for the rest. */
     private static final int MOST_BYTES = 1 << 18;
     /** So much may wait unread behind a request; beyond it the client is not read from. */
     private static final int BACKLOG_BYTES = 1 << 16;
+    /** So long after connecting, or after the first byte of a message, a whole one must have come. */
+    private static final long OWING_US = 2_300_000;
+    /** So many queries in a row may be no good before the connection ends: answering them is work, too. */
+    private static final int MOST_FAULTS = 16;
+    /**
+     * After its last error, a client is read from for so long and so much: to close with bytes unread resets
+     * the connection, and the error may be lost.
+     */
+    private static final long LINGER_US = 300_000;
+    private static final int LINGER_BYTES = 1 << 20;
     /** When to come back after a refusal for want of a place. */
     private static final long CROWDED_ADVICE_US = 200_000;
     /** Between the client's sending, from which its patience counts, and our reading, and back again. */
@@ -36,6 +48,11 @@
     private boolean busy;
     private boolean taking;
     private boolean skipsToSync;
+    private boolean asked;
+    private int faults;
+    private int lingered;
+    private long sinceUs;
+    private Deadlines.Deadline patience;
     private long request = SlotTable.NONE;
 
     ClientConnection(Loop loop, Listener listener, StreamConnection connection) {
@@ -49,11 +66,42 @@
     }
 
     void begin() {
+        await();
         stream.resumeReads();
     }
 
+    /** Since when it has been idle, or has owed a whole message. */
+    long sinceUs() {
+        return sinceUs;
+    }
+
+    /** A whole message is owed from now on. */
+    private void await() {
+        if (patience == null) {
+            sinceUs = loop.clock().now();
+            patience = loop.deadlines().after(OWING_US, this::silent);
+            listener.owes(this);
+        }
+    }
+
+    private void silent() {
+        loop.counters().clientsSilent++;
+        fatal(Messages.IDLE, "nothing whole came in time");
+    }
+
+    private void heard() {
+        loop.deadlines().cancel(patience);
+        patience = null;
+    }
+
     @Override public void received(ByteBuffer in) {
-        listener.began(this);
+        if (phase == Phase.LINGERING) {
+            lingered += in.remaining();
+            if (lingered > LINGER_BYTES) {
+                close();
+            }
+            return;
+        }
         reader.feed(in);
         take();
         if (busy && reader.buffered() > BACKLOG_BYTES) {
@@ -73,7 +121,7 @@
         taking = true;
         try {
             // A slow reader's next request waits until it has taken its last answer.
-            while (phase != Phase.CLOSED && !busy && stream.flushed()) {
+            while (phase.compareTo(Phase.LINGERING) < 0 && !busy && stream.flushed()) {
                 if (phase == Phase.STARTUP ? !reader.nextStartup() : !reader.next()) {
                     break;
                 }
@@ -89,12 +137,22 @@
         } finally {
             taking = false;
         }
-        if (!busy) {
+        if (phase.compareTo(Phase.LINGERING) < 0 && !busy) {
             stream.resumeReads();
-            listener.rested(this);
+            rest();
         }
     }
 
+    private void rest() {
+        if (!restsBetweenRequests() || !asked && !listener.closing()) {
+            await();
+            return;
+        }
+        heard();
+        sinceUs = loop.clock().now();
+        listener.rested(this);
+    }
+
     private void startup() throws PgException {
         int version = reader.firstInt();
         if (version == Messages.SSL_REQUEST || version == Messages.GSS_REQUEST) {
@@ -132,6 +190,7 @@
 
     private void query(byte[] body) throws PgException {
         if (Statement.isEmpty(body)) {
+            asked = true;
             if (listener.ready()) {
                 answer(Messages.emptyQueryResponse());
             } else {
@@ -140,6 +199,7 @@
             return;
         }
         if (Arrays.equals(body, SHOW_STATS)) {
+            asked = true;
             answer(Messages.row("stats", loop.counters().toString()));
             return;
         }
@@ -147,17 +207,20 @@
         try {
             s = Statement.parse(body);
         } catch (PgException e) {
-            loop.counters().malformed++;
-            answer(Messages.error(false, Messages.INVALID_STATEMENT, e.getMessage(), null));
+            fault(e.getMessage());
             return;
         }
-        Integer cls = listener.classNumber(s.requestClass());
+        Integer cls = listener.classNumber(s);
         if (cls == null) {
-            loop.counters().malformed++;
-            answer(Messages.error(false, Messages.INVALID_STATEMENT,
-                    "a class that the settings do not name", null));
+            fault("a class that the settings do not name, or a statement that is none of its class");
             return;
         }
+        if (listener.broker().holds(s.id())) {
+            fault("the id of a request that is open"); // Sent on, it would be a second copy in flight.
+            return;
+        }
+        asked = true;
+        faults = 0;
         if (listener.crowded()) {
             loop.counters().crowdedOut++;
             answer(refusal(CROWDED_ADVICE_US));
@@ -166,13 +229,25 @@
         long now = loop.clock().now();
         long sinceWriteUs = s.afterMs() == 0 ? 0 : Math.max(1, now - s.afterMs() * 1000);
         busy = true;
-        long handle = listener.broker().submit(new Broker.Ask(cls, s.session(), s.cluster(),
-                now + s.patienceMs() * 1000 - TRANSIT_US, sinceWriteUs, s.repeated()), s, this);
+        heard();
+        listener.busy(this);
+        long handle = listener.broker().submit(new Broker.Ask(s.id(), cls, s.session(),
+                s.cluster(), now + s.patienceMs() * 1000 - TRANSIT_US, sinceWriteUs, s.repeated()), s, this);
         if (busy) {
             request = handle;
         }
     }
 
+    /** A query that is no good has its error, and the next may be better; a long row of them has an end. */
+    private void fault(String text) {
+        loop.counters().malformed++;
+        if (++faults < MOST_FAULTS) {
+            answer(Messages.error(false, Messages.INVALID_STATEMENT, text, null));
+        } else {
+            fatal(Messages.INVALID_STATEMENT, text);
+        }
+    }
+
     private void answer(byte[] message) {
         byte[] ready = Messages.readyForQuery();
         byte[] out = new byte[message.length + ready.length];
@@ -208,7 +283,14 @@
 
     private void fatal(String code, String text) {
         stream.write(Messages.error(true, code, text, null));
-        close();
+        if (phase != Phase.CLOSED) {
+            phase = Phase.LINGERING;
+            heard();
+            patience = loop.deadlines().after(LINGER_US, this::close);
+            listener.owes(this);
+            stream.end();
+            stream.resumeReads();
+        }
     }
 
     @Override public void ended() {
@@ -217,7 +299,7 @@
 
     /** Whether nothing of the client's is in hand; one that was closed does not rest, it is gone. */
     boolean restsBetweenRequests() {
-        return phase != Phase.CLOSED && !busy && stream.flushed() && reader.buffered() == 0;
+        return phase == Phase.RUNNING && !busy && stream.flushed() && reader.buffered() == 0;
     }
 
     void close() {
@@ -225,6 +307,7 @@
             return;
         }
         phase = Phase.CLOSED;
+        heard();
         loop.counters().clientsClosed++;
         stream.close();
         listener.closed(this);
--- a/src/main/java/frostreel/net/Listener.java
+++ b/src/main/java/frostreel/net/Listener.java
@@ -2,9 +2,12 @@
 
 import frostreel.broker.Broker;
 import frostreel.broker.SlotTable;
+import frostreel.pg.Statement;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.HashMap;
 import java.util.LinkedHashSet;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
 import java.util.logging.Logger;
@@ -13,27 +16,38 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.channels.AcceptingChannel;
+import willowfield.Router;
 
 /** Owns the listening socket and the clients' connections, up to their cap. */
 public final class Listener {
     private static final int BACKLOG = 1024;
-    /** So many descriptors are kept free by closing idle clients. */
+    /** So many are accepted in one turn, so that a storm of connections leaves time to those in hand. */
+    private static final int ACCEPTS_AT_ONCE = 32;
+    /** So many descriptors are kept free by closing clients that ask for nothing. */
     private static final int ROOM = 16;
+    /** A client that asked before may be closed once it has been idle for so long. */
+    private static final long IDLE_US = 2_000_000;
+    /** Nobody who has something to ask is silent for so long after connecting. */
+    private static final long SILENT_US = 300_000;
     private static final Logger LOG = Logger.getLogger(Listener.class.getName());
     private final Loop loop;
     private final Broker broker;
-    private final Map<String, Integer> classNumbers;
+    private final List<Router.RequestClass> classes;
+    private final Map<String, Integer> classNumbers = new HashMap<>();
     private final int maxClients;
     private final SlotTable<ClientConnection> clients;
     private AcceptingChannel<StreamConnection> channel;
+    /** Clients between requests, and clients that have yet to send a whole one; the longest so first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
+    private final Set<ClientConnection> owing = new LinkedHashSet<>();
     private boolean ready;
     private boolean closing;
 
-    public Listener(Loop loop, Broker broker, Map<String, Integer> classNumbers, int maxClients) {
+    public Listener(Loop loop, Broker broker, List<Router.RequestClass> classes, int maxClients) {
         this.loop = loop;
         this.broker = broker;
-        this.classNumbers = classNumbers;
+        this.classes = classes;
+        classes.forEach(c -> classNumbers.put(c.name(), classNumbers.size()));
         this.maxClients = maxClients;
         clients = new SlotTable<>(maxClients + 1);
     }
@@ -53,7 +67,11 @@
 
     private void accept(AcceptingChannel<StreamConnection> from) {
         try {
-            for (StreamConnection c = from.accept(); c != null; c = from.accept()) {
+            for (int i = 0; i < ACCEPTS_AT_ONCE; i++) {
+                StreamConnection c = from.accept();
+                if (c == null) {
+                    return;
+                }
                 loop.counters().clientsAccepted++;
                 ClientConnection client = new ClientConnection(loop, this, c);
                 client.slot = clients.add(client);
@@ -61,8 +79,8 @@
                     client.close();
                     continue;
                 }
-                client.begin();
                 makeRoom();
+                client.begin();
             }
         } catch (IOException e) {
             LOG.warning("accepting a client failed: " + e.getMessage());
@@ -74,6 +92,10 @@
         ready = true;
     }
 
+    boolean closing() {
+        return closing;
+    }
+
     boolean ready() {
         return ready;
     }
@@ -82,13 +104,22 @@
         return broker;
     }
 
-    Integer classNumber(String name) {
-        return classNumbers.get(name);
+    /** The class that a statement names, null where there is none or the statement is none of that class. */
+    Integer classNumber(Statement s) {
+        Integer number = classNumbers.get(s.requestClass());
+        if (number == null) {
+            return null;
+        }
+        Router.RequestClass c = classes.get(number);
+        boolean fits = s.write() == (c.access() == Router.Access.WRITE)
+                && (s.keyed() || c.repeat() != Router.Repeat.KEYED);
+        return fits ? number : null;
     }
 
     /** A client has nothing in hand; once the end is near, it is closed then. */
     void rested(ClientConnection c) {
         if (c.restsBetweenRequests()) {
+            owing.remove(c);
             if (closing) {
                 c.close();
             } else {
@@ -97,25 +128,43 @@
         }
     }
 
-    void began(ClientConnection c) {
+    /** A client has begun, and not yet finished, what it wants to say. */
+    void owes(ClientConnection c) {
         idle.remove(c);
+        owing.add(c);
     }
 
-    void closed(ClientConnection c) {
+    /** A client has a request in hand. */
+    void busy(ClientConnection c) {
         idle.remove(c);
+        owing.remove(c);
+    }
+
+    void closed(ClientConnection c) {
+        busy(c);
         clients.remove(c.slot);
     }
 
     /**
-     * Near the cap, the client idle for longest makes room. A request on a connection that waits to be
-     * accepted counts as taken, so accepting must not have to pause while idle clients hold descriptors.
+     * Near the cap, clients that ask for nothing make room: the one silent for longest, or the one idle for
+     * longest. A request on a connection that waits to be accepted counts as taken, so accepting must not
+     * have to pause while such clients hold descriptors.
      */
     private void makeRoom() {
-        if (crowded() && !idle.isEmpty()) {
-            idle.iterator().next().close();
+        for (ClientConnection c = evictable(); crowded() && c != null; c = evictable()) {
+            loop.counters().clientsEvicted++;
+            c.close();
         }
     }
 
+    private ClientConnection evictable() {
+        long now = loop.clock().now();
+        ClientConnection silent = owing.isEmpty() ? null : owing.iterator().next();
+        ClientConnection rested = idle.isEmpty() ? null : idle.iterator().next();
+        boolean rests = rested != null && now - rested.sinceUs() > IDLE_US;
+        return rests && (silent == null || now - silent.sinceUs() < SILENT_US) ? rested : silent;
+    }
+
     /**
      * Whether nearly all places are taken. A request that would wait for a place, unaccepted, could not be
      * answered in time; so what comes on the last places is refused at once.
--- a/src/main/java/frostreel/net/Stream.java
+++ b/src/main/java/frostreel/net/Stream.java
@@ -40,6 +40,7 @@
     private final ConduitStreamSinkChannel sink;
     private final Handler handler;
     private final ArrayDeque<ByteBuffer> output = new ArrayDeque<>();
+    private boolean ending;
     private boolean closed;
 
     public Stream(Loop loop, StreamConnection connection, Handler handler) {
@@ -108,9 +109,27 @@
         }
     }
 
+    /** Ends our sending once all is with the socket; the other side may still send. */
+    void end() {
+        ending = true;
+        shutWhenFlushed();
+    }
+
+    private void shutWhenFlushed() {
+        if (ending && !closed && flushed()) {
+            try {
+                sink.shutdownWrites();
+                sink.flush();
+            } catch (IOException e) {
+                loop.thread().execute(() -> guarded(this::broken));
+            }
+        }
+    }
+
     private void writable() {
         if (flush() && !closed) {
             sink.suspendWrites();
+            shutWhenFlushed();
             handler.drained();
         }
     }
--- a/src/main/java/frostreel/pg/Messages.java
+++ b/src/main/java/frostreel/pg/Messages.java
@@ -16,7 +16,7 @@
     public static final String NOT_SUPPORTED = "0A000";
     public static final String INVALID_STATEMENT = "22023";
     public static final String UNKNOWN_EFFECT = "08007";
-    static final String INTERNAL = "XX000";
+    public static final String IDLE = "57P05";
 
     private Messages() {}
 
--- a/src/main/java/frostreel/pg/Statement.java
+++ b/src/main/java/frostreel/pg/Statement.java
@@ -2,56 +2,104 @@
 
 import frostreel.broker.Payload;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 
 /**
- * A statement with its comment of names and values. Its bytes are kept as they came; the fields that the
- * decisions
- * need are taken out, and only the value of {@code d} is written anew for a server.
+ * A statement in one of the protocol's two forms, with its comment of names and values. Its bytes are kept
+ * as they came; the fields that the decisions need are taken out, and only the value of {@code d} is written
+ * anew for a server. Any other statement stays here: a server that cannot use one may close, and the fault
+ * would be put down to the server.
  */
 public final class Statement implements Payload {
     private static final long KEY_MASK = (1L << 53) - 1;
+    private static final int MOST_KEY = 256;
+    private static final int MOST_ID = 64;
+    private static final byte[] READ = ascii("SELECT v FROM records WHERE k = '");
+    private static final byte[] READ_COMMENT = ascii("' /* ");
+    private static final byte[] WRITE = ascii("INSERT INTO records (k, v) VALUES ('");
+    private static final byte[] WRITE_VALUE = ascii("', '\\x");
+    private static final byte[] WRITE_COMMENT = ascii("') RETURNING v /* ");
+    private static final byte[] END = ascii(" */\0");
     private final byte[] sql; // With its end mark.
+    private final boolean write;
+    private int at;
+    private long session = 0xcbf29ce484222325L;
     private int patienceFrom = -1;
     private int patienceTo;
-    private boolean named;
+    private String id;
+    private boolean keyed;
     private String requestClass;
     private long patienceMs;
     private int cluster;
     private long afterMs;
     private boolean repeated;
 
-    private Statement(byte[] sql) {
+    private Statement(byte[] sql) throws PgException {
         this.sql = sql;
+        write = starts(WRITE);
+        take(write ? WRITE : READ);
+        key();
+        if (write) {
+            take(WRITE_VALUE);
+            value();
+        }
+        take(write ? WRITE_COMMENT : READ_COMMENT);
+        readComment(at, sql.length - END.length);
+        at = sql.length - END.length;
+        take(END);
+        if (requestClass == null || patienceFrom < 0 || id == null) {
+            throw new PgException("a comment without id, c or d");
+        }
     }
 
     /** Parses the body of a Query message: the statement and its end mark. */
     public static Statement parse(byte[] body) throws PgException {
-        Statement s = new Statement(body);
-        int to = textLength(body);
-        while (to > 0 && (s.sql[to - 1] == ' ' || s.sql[to - 1] == ';' || s.sql[to - 1] == '\n')) {
-            to--;
-        }
-        int from = to - 2;
-        if (to < 4 || s.sql[to - 2] != '*' || s.sql[to - 1] != '/') {
-            throw new PgException("a statement that does not end with a comment");
+        return new Statement(body);
+    }
+
+    private static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
+    }
+
+    private boolean starts(byte[] word) {
+        return sql.length - at >= word.length
+                && Arrays.equals(sql, at, at + word.length, word, 0, word.length);
+    }
+
+    private void take(byte[] word) throws PgException {
+        if (at < 0 || !starts(word)) {
+            throw new PgException("a statement in neither of the two forms served here");
         }
-        while (from > 1 && !(s.sql[from - 2] == '/' && s.sql[from - 1] == '*')) {
-            from--;
+        at += word.length;
+    }
+
+    /** The quoted key, of which the session's number is made. */
+    private void key() throws PgException {
+        int from = at;
+        for (; at < sql.length && sql[at] != '\''; at++) {
+            if (sql[at] < ' ' || sql[at] == '\\' || at - from >= MOST_KEY) {
+                throw new PgException("a key that is not plain text");
+            }
+            session = (session ^ sql[at]) * 0x100000001b3L;
         }
-        if (from <= 1) {
-            throw new PgException("a comment without a beginning");
+    }
+
+    private void value() throws PgException {
+        int from = at;
+        while (at < sql.length && Character.digit(sql[at], 16) >= 0) {
+            at++;
         }
-        s.readComment(from, to - 2);
-        if (s.requestClass == null || s.patienceFrom < 0 || !s.named) {
-            throw new PgException("a comment without id, c or d");
+        if ((at - from) % 2 != 0) {
+            throw new PgException("a value that is not hexadecimal");
         }
-        return s;
     }
 
     /** Whether a query holds nothing but blanks. */
     public static boolean isEmpty(byte[] body) throws PgException {
-        int n = textLength(body);
-        for (int i = 0; i < n; i++) {
+        if (body.length == 0 || body[body.length - 1] != 0) {
+            throw new PgException("a query without its end mark");
+        }
+        for (int i = 0; i < body.length - 1; i++) {
             if (body[i] != ' ' && body[i] != ';' && body[i] != '\n') {
                 return false;
             }
@@ -59,43 +107,40 @@
         return true;
     }
 
-    private static int textLength(byte[] body) throws PgException {
-        if (body.length == 0 || body[body.length - 1] != 0) {
-            throw new PgException("a query without its end mark");
-        }
-        return body.length - 1;
-    }
-
     private void readComment(int from, int to) throws PgException {
-        for (int at = from; at < to;) {
-            int end = at;
+        for (int start = from, end; start < to; start = end + 1) {
             int equals = -1;
-            for (; end < to && sql[end] != ','; end++) {
+            for (end = start; end < to && sql[end] != ','; end++) {
+                if (sql[end] <= ' ' || sql[end] == '*') {
+                    throw new PgException("a comment of more than names and values");
+                }
                 equals = equals < 0 && sql[end] == '=' ? end : equals;
             }
-            if (equals > 0) {
-                readField(new String(sql, at, equals - at, StandardCharsets.UTF_8).trim(), equals + 1, end);
+            if (equals <= start) {
+                throw new PgException("a comment of more than names and values");
             }
-            at = end + 1;
+            readField(new String(sql, start, equals - start, StandardCharsets.US_ASCII), equals + 1, end);
         }
     }
 
     private void readField(String name, int from, int to) throws PgException {
-        int end = to;
-        while (end > from && sql[end - 1] == ' ') {
-            end--;
-        }
-        String value = new String(sql, from, end - from, StandardCharsets.UTF_8);
+        String value = new String(sql, from, to - from, StandardCharsets.US_ASCII);
         switch (name) {
-            case "id" -> named = !value.isEmpty();
+            case "id" -> {
+                if (value.isEmpty() || value.length() > MOST_ID || id != null) {
+                    throw new PgException("a comment whose id is none");
+                }
+                id = value;
+            }
             case "c" -> requestClass = value;
             case "d" -> {
                 patienceMs = number(name, value, Integer.MAX_VALUE);
                 patienceFrom = from;
-                patienceTo = end;
+                patienceTo = to;
             }
             case "cluster" -> cluster = (int) number(name, value, Integer.MAX_VALUE);
             case "after" -> afterMs = number(name, value, Long.MAX_VALUE / 1000);
+            case "k" -> keyed = !value.isEmpty();
             case "r" -> repeated = value.equals("1");
             default -> { }
         }
@@ -113,6 +158,20 @@
         throw new PgException("a comment whose " + name + " is no number in range");
     }
 
+    /** The request's own name, new with every request. */
+    public String id() {
+        return id;
+    }
+
+    public boolean write() {
+        return write;
+    }
+
+    /** Whether it carries the key by which servers drop its repeats. */
+    public boolean keyed() {
+        return keyed;
+    }
+
     public String requestClass() {
         return requestClass;
     }
@@ -134,20 +193,9 @@
         return repeated;
     }
 
-    /** The session: a number made of the first quoted text, which is the key. */
+    /** The session: a number made of the key. */
     public long session() {
-        long hash = 0xcbf29ce484222325L;
-        boolean quoted = false;
-        for (byte b : sql) {
-            if (b == '\'' && quoted) {
-                break;
-            } else if (b == '\'') {
-                quoted = true;
-            } else if (quoted) {
-                hash = (hash ^ b) * 0x100000001b3L;
-            }
-        }
-        return (hash ^ hash >>> 32) & KEY_MASK;
+        return (session ^ session >>> 32) & KEY_MASK;
     }
 
     @Override public byte[] forServer(long patienceUs) {
--- a/src/main/java/frostreel/stats/Counters.java
+++ b/src/main/java/frostreel/stats/Counters.java
@@ -9,6 +9,8 @@
     public long clientsAccepted;
     public long clientsClosed;
     public long clientsGone;
+    public long clientsSilent;
+    public long clientsEvicted;
     public long malformed;
     public long strayBytes;
     public long unreadReports;
@@ -35,7 +37,8 @@
     /** One line, names and values. */
     @Override public String toString() {
         return "clients_accepted=" + clientsAccepted + " clients_closed=" + clientsClosed + " clients_gone="
-                + clientsGone + " malformed=" + malformed + " stray_bytes=" + strayBytes
+                + clientsGone + " clients_silent=" + clientsSilent + " clients_evicted=" + clientsEvicted
+                + " malformed=" + malformed + " stray_bytes=" + strayBytes
                 + " unread_reports=" + unreadReports + " crowded_out=" + crowdedOut
                 + " requests=" + requests + " served=" + served
                 + " refused=" + refused + " failed=" + failed + " overdue=" + overdue + " attempts="
