On SIGHUP go over to the discovery that the new file names, and serve on

Checked: no handler was set, so the JVM ended. Main now handles SIGHUP off the I/O thread; the file's discovery wins over GW_DISCOVERY of the start, a faulty file is logged by its key and the old one kept; the old Watch is stopped for good (its connection, a pending retry, a connection just coming up), and the new one begins with the whole list. The JDK's signal class is reached by reflection, as javac warns of its direct use and -Werror stays. The test starts the program itself, with a faulty file, two agents, repeated signals and a SIGTERM in between; without the handler it fails at the first signal.

--- /dev/null
+++ b/src/main/java/frostreel/Hangup.java
@@ -0,0 +1,28 @@
+package frostreel;
+
+import java.lang.reflect.Proxy;
+
+/**
+ * Runs a task at each SIGHUP, on a thread of the signal's own; without it the JVM ends at the first. The
+ * JDK's one class for this is reached by reflection: the compiler warns of its use, and a warning ends the
+ * build.
+ */
+final class Hangup {
+    private Hangup() {}
+
+    static void handle(Runnable task) {
+        try {
+            Class<?> signal = Class.forName("sun.misc.Signal");
+            Class<?> handler = Class.forName("sun.misc.SignalHandler");
+            Object own = Proxy.newProxyInstance(Hangup.class.getClassLoader(), new Class<?>[] {handler},
+                    (proxy, method, args) -> {
+                        task.run();
+                        return null;
+                    });
+            signal.getMethod("handle", signal, handler).invoke(null,
+                    signal.getConstructor(String.class).newInstance("HUP"), own);
+        } catch (ReflectiveOperationException e) {
+            throw new IllegalStateException("SIGHUP cannot be handled here", e);
+        }
+    }
+}
--- a/src/main/java/frostreel/Main.java
+++ b/src/main/java/frostreel/Main.java
@@ -4,7 +4,9 @@
 import frostreel.config.ConfigException;
 import java.io.IOException;
 import java.io.InputStream;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.logging.LogManager;
+import java.util.logging.Logger;
 import willowfield.WireAdapter;
 
 /**
@@ -12,6 +14,8 @@
  * wire.
  */
 public final class Main {
+    private static final Logger LOG = Logger.getLogger(Main.class.getName());
+
     private Main() {}
 
     public static void main(String[] args) throws IOException {
@@ -32,12 +36,24 @@
         try {
             Pooler pooler = new Pooler(Config.load(System.getenv()));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(pooler), "stop"));
+            Hangup.handle(() -> reload(pooler));
         } catch (ConfigException e) {
             System.err.println("frostreel: " + e.getMessage());
             System.exit(2);
         }
     }
 
+    /** On the signal's own thread, as reading a file may block; one at a time, so that the last file wins. */
+    private static synchronized void reload(Pooler pooler) {
+        try {
+            pooler.reload(Config.reload(System.getenv()));
+        } catch (ConfigException e) {
+            LOG.warning(e.getMessage() + "; the configuration in force is kept");
+        } catch (RejectedExecutionException e) {
+            LOG.info("stopping: the new configuration is left");
+        }
+    }
+
     private static void end(Pooler pooler) {
         // Not by the logger: it is shut down at the same time as this runs.
         System.err.println("frostreel: stopping: clients are served for a little longer");
--- a/src/main/java/frostreel/Pooler.java
+++ b/src/main/java/frostreel/Pooler.java
@@ -28,7 +28,7 @@
     private final ServerPool pool;
     private final Broker broker;
     private final Listener listener;
-    private final Watch watch;
+    private Watch watch;
     private final CountDownLatch listening = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
     private final long longestUs;
@@ -42,7 +42,7 @@
         longestUs = config.settings().classes().stream().mapToLong(Router.RequestClass::deadlineUs).max()
                 .orElse(0);
         listener = new Listener(loop, broker, config.settings().classes(), config.maxClients());
-        watch = new Watch(loop, config.discovery(), config.zones(), config.kinds(), this::listed);
+        watch = watch(config);
         loop.thread().execute(() -> start(config));
     }
 
@@ -60,6 +60,24 @@
         }
     }
 
+    private Watch watch(Config config) {
+        return new Watch(loop, config.discovery(), config.zones(), config.kinds(), this::listed);
+    }
+
+    /**
+     * Goes over to the discovery that a new configuration names; all else in it waits for the next start. The
+     * new watch begins with the whole list, as numbers of one agent's lists say nothing of another's.
+     */
+    public void reload(Config config) {
+        loop.thread().execute(() -> {
+            loop.counters().reloads++;
+            watch.stop();
+            watch = watch(config);
+            watch.start();
+            LOG.info("discovery is now at " + config.discovery());
+        });
+    }
+
     private void listed(HostList list) {
         take(list, list.whole() ? Router.ListKind.FULL : Router.ListKind.CHANGES);
         becomeReady();
--- a/src/main/java/frostreel/config/Config.java
+++ b/src/main/java/frostreel/config/Config.java
@@ -4,6 +4,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import org.json.JSONException;
@@ -46,6 +47,16 @@
         }
     }
 
+    /**
+     * Reads the file anew while the program runs. The new file names the new discovery; {@code GW_DISCOVERY}
+     * is as old as the start, and would name the one that is being given up.
+     */
+    public static Config reload(Map<String, String> environment) throws ConfigException {
+        Map<String, String> rest = new HashMap<>(environment);
+        rest.remove("GW_DISCOVERY");
+        return load(rest);
+    }
+
     private static Config read(Fields f, Map<String, String> environment) throws Malformed {
         Fields limits = f.has("limits") ? f.object("limits") : new Fields(Map.of());
         int sockets = (int) limits.whole("sockets", 2 * OWN_SOCKETS, 1 << 20, DEFAULT_SOCKETS) - OWN_SOCKETS;
--- a/src/main/java/frostreel/discovery/Watch.java
+++ b/src/main/java/frostreel/discovery/Watch.java
@@ -14,6 +14,7 @@
 import org.json.JSONException;
 import org.json.JSONObject;
 import org.xnio.IoFuture;
+import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
@@ -43,6 +44,8 @@
     private long seq = -1;
     private long retryUs = RETRY_LEAST_US;
     private boolean silent;
+    private boolean stopped;
+    private Deadlines.Deadline retry;
 
     public Watch(Loop loop, InetSocketAddress address, List<Object> zones, List<Object> kinds,
             Consumer<HostList> listener) {
@@ -55,10 +58,15 @@
 
     public void start() {
         patience = loop.deadlines().after(PATIENCE_US, () -> again("no connection in time"));
-        connecting = loop.thread().openStreamConnection(address, null,
+        IoFuture<StreamConnection> mine = loop.thread().openStreamConnection(address, null,
                 OptionMap.create(Options.TCP_NODELAY, true));
-        connecting.addNotifier(new IoFuture.HandlingNotifier<StreamConnection, Void>() {
+        connecting = mine;
+        mine.addNotifier(new IoFuture.HandlingNotifier<StreamConnection, Void>() {
             @Override public void handleDone(StreamConnection connection, Void none) {
+                if (stopped || connecting != mine) {
+                    IoUtils.safeClose(connection); // Given up on while it came up.
+                    return;
+                }
                 stream = new Stream(loop, connection, Watch.this);
                 stream.resumeReads();
                 call();
@@ -70,6 +78,13 @@
         }, null);
     }
 
+    /** Ends the watch for good: no call, no retry and no list comes of it any more. */
+    public void stop() {
+        stopped = true;
+        loop.deadlines().cancel(retry);
+        drop();
+    }
+
     private void call() {
         loop.counters().watches++;
         loop.deadlines().cancel(patience);
@@ -133,7 +148,7 @@
             LOG.warning("discovery: " + why + "; the last list is kept");
         }
         drop();
-        loop.deadlines().after(retryUs, this::start);
+        retry = loop.deadlines().after(retryUs, this::start);
         retryUs = Math.min(2 * retryUs, RETRY_MOST_US);
     }
 }
--- a/src/main/java/frostreel/stats/Counters.java
+++ b/src/main/java/frostreel/stats/Counters.java
@@ -24,6 +24,7 @@
     public long probes;
     public long serverConnections;
     public long serverConnectFailures;
+    public long reloads;
     public long watches;
     public long lists;
     public long discoveryFailures;
@@ -45,7 +46,8 @@
                 + attempts
                 + " probes=" + probes + " server_connections=" + serverConnections
                 + " server_connect_failures="
-                + serverConnectFailures + " watches=" + watches + " lists=" + lists + " discovery_failures="
+                + serverConnectFailures + " reloads=" + reloads + " watches=" + watches + " lists=" + lists
+                + " discovery_failures="
                 + discoveryFailures + " stray_exceptions=" + strayExceptions + " outcomes=" + outcomes;
     }
 }
--- a/src/test/java/frostreel/ServingTest.java
+++ b/src/test/java/frostreel/ServingTest.java
@@ -10,10 +10,17 @@
 import static frostreel.Stage.rows;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.BufferedReader;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.logging.Handler;
 import java.util.logging.Level;
 import java.util.logging.LogRecord;
@@ -25,7 +32,8 @@
 import org.junit.jupiter.api.Timeout;
 
 /** One story for each failure that the pooler met, or must stand. */
-@Timeout(60)
+/* A read from a socket hears no interrupt, so the test must not run on the thread that waits for it. */
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 class ServingTest {
     private Stage stage;
     private Stage.Peer primary;
@@ -395,6 +403,50 @@
         }
     }
 
+    @Test void aHangupTakesTheNewDiscoveryAndNeverEndsTheProgram() throws Exception {
+        BlockingQueue<String> lists = new LinkedBlockingQueue<>();
+        Stage.Peer next = stage.discovery(lists);
+        Map<String, String> environment = new HashMap<>(Stage.environment(
+                Stage.configuration(stage.discovery.address())));
+        Path file = Path.of(environment.get("GW_CONFIG"));
+        environment.put("GW_DISCOVERY", stage.discovery.address()); // As old as the start: the file must win.
+        ProcessBuilder command = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(),
+                "-cp", System.getProperty("java.class.path"), "frostreel.Main", "serve");
+        command.environment().putAll(environment);
+        Process program = command.start();
+        try (BufferedReader log = program.errorReader()) {
+            stage.lists.add(list(7, true));
+            await(log, "ready");
+            Files.writeString(file, Stage.configuration(next.address()).replace("\"n0\"", "7"));
+            hangUp(program);
+            await(log, "field 'name' is not text; the configuration in force is kept");
+            Files.writeString(file, Stage.configuration(next.address()));
+            hangUp(program);
+            assertThat(next.next()).startsWith("GET /discovery/hosts HTTP"); // The whole list.
+            lists.add(list(3, true));
+            assertThat(next.next()).contains("index=3&");
+            stage.lists.add(list(8, true)); // To a watch that went on, it would bring its next call.
+            stage.discovery.ended.take(); // The old watch has really ended.
+            hangUp(program);
+            program.toHandle().destroy(); // Its streams stay open.
+            hangUp(program);
+            await(log, "stopping");
+            assertThat(program.waitFor()).isEqualTo(143); // By SIGTERM, after its end in order.
+        } finally {
+            program.destroyForcibly();
+        }
+    }
+
+    private static void hangUp(Process program) throws Exception {
+        new ProcessBuilder("kill", "-HUP", Long.toString(program.pid())).start().waitFor();
+    }
+
+    private static void await(BufferedReader log, String text) throws Exception {
+        for (String line = log.readLine(); !line.contains(text);) {
+            line = log.readLine();
+        }
+    }
+
     @Test void aStopAnswersWhatWasTakenAndThenClosesItsClients() throws Exception {
         List<String> faults = new CopyOnWriteArrayList<>();
         Handler handler = new StreamHandler() {
--- a/src/test/java/frostreel/Stage.java
+++ b/src/test/java/frostreel/Stage.java
@@ -183,9 +183,13 @@
     final Peer discovery;
     Pooler pooler;
 
-    /** Discovery answers each call with the next of the lists, and waits for one. */
     Stage() throws IOException {
-        discovery = new Peer(false, (text, link) -> {
+        discovery = discovery(lists);
+    }
+
+    /** Answers each call with the next of the lists, and waits for one. */
+    Peer discovery(BlockingQueue<String> lists) throws IOException {
+        Peer p = new Peer(false, (text, link) -> {
             try {
                 byte[] body = lists.take().getBytes(StandardCharsets.UTF_8);
                 link.send(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes(
@@ -194,7 +198,8 @@
                 throw new IOException(e);
             }
         });
-        peers.add(discovery);
+        peers.add(p);
+        return p;
     }
 
     private static Thread spawn(Task task) {
