Serve on until SIGKILL is near, and refuse only when busy clients hold the places

Now only clients with a request in hand count, and while there is no room the others are looked at every 50 ms, not only at the next accept, which XNIO pauses at the cap.

Now open connections are served until 0.4 s before SIGKILL may come, what comes after 0.7 s with the time left until then.

--- a/src/main/java/frostreel/Pooler.java
+++ b/src/main/java/frostreel/Pooler.java
@@ -22,6 +22,10 @@
     private static final long LIST_PATIENCE_US = 2_000_000;
     /** After SIGTERM clients still come for a while; for so long they are served as ever. */
     private static final long STAY_US = 700_000;
+    /** SIGKILL comes no sooner than the longest deadline, or this where that is longer, and the stay. */
+    private static final long KILL_MOST_US = 3_000_000;
+    /** So long before SIGKILL is due, all that was taken after the stay is answered. */
+    private static final long KILL_MARGIN_US = 400_000;
     private static final long CHECK_US = 20_000;
     private static final Logger LOG = Logger.getLogger(Pooler.class.getName());
     private final Loop loop;
@@ -102,11 +106,17 @@
         return listener.address();
     }
 
-    /** Serves on for the span in which clients still come, answers all that was taken, and returns. */
+    /**
+     * Serves on, answers all that was taken, and returns. Clients keep using the connections they have for as
+     * long as these stay open, and are nowhere better off: so they are served until shortly before SIGKILL is
+     * due, what comes after the stay with no more time than is left until then.
+     */
     public boolean stop() throws InterruptedException {
         loop.thread().execute(() -> {
+            long lastUs = loop.clock().now() + Math.min(longestUs, KILL_MOST_US) + STAY_US - KILL_MARGIN_US;
+            loop.deadlines().at(lastUs, listener::beginClosing);
             loop.deadlines().after(STAY_US, () -> {
-                listener.beginClosing();
+                listener.answerBy(lastUs);
                 awaitEnd();
             });
         });
--- a/src/main/java/frostreel/net/ClientConnection.java
+++ b/src/main/java/frostreel/net/ClientConnection.java
@@ -221,7 +221,7 @@
         }
         asked = true;
         faults = 0;
-        if (listener.crowded()) {
+        if (listener.full()) {
             loop.counters().crowdedOut++;
             answer(refusal(CROWDED_ADVICE_US));
             return;
@@ -232,7 +232,8 @@
         heard();
         listener.busy(this);
         long handle = listener.broker().submit(new Broker.Ask(s.id(), cls, s.session(),
-                s.cluster(), now + s.patienceMs() * 1000 - TRANSIT_US, sinceWriteUs, s.repeated()), s, this);
+                s.cluster(), Math.min(now + s.patienceMs() * 1000 - TRANSIT_US, listener.answerBy()),
+                sinceWriteUs, s.repeated()), s, this);
         if (busy) {
             request = handle;
         }
--- a/src/main/java/frostreel/net/Listener.java
+++ b/src/main/java/frostreel/net/Listener.java
@@ -27,6 +27,8 @@
     private static final int ROOM = 16;
     /** A client that asked before may be closed once it has been idle for so long. */
     private static final long IDLE_US = 2_000_000;
+    /** While there is no room, those that ask for nothing are looked at so often. */
+    private static final long ROOM_CHECK_US = 50_000;
     /** Nobody who has something to ask is silent for so long after connecting. */
     private static final long SILENT_US = 300_000;
     private static final Logger LOG = Logger.getLogger(Listener.class.getName());
@@ -40,6 +42,8 @@
     /** Clients between requests, and clients that have yet to send a whole one; the longest so first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
     private final Set<ClientConnection> owing = new LinkedHashSet<>();
+    private long answerByUs = Long.MAX_VALUE;
+    private boolean lookingForRoom;
     private boolean ready;
     private boolean closing;
 
@@ -155,6 +159,13 @@
             loop.counters().clientsEvicted++;
             c.close();
         }
+        if (crowded() && !lookingForRoom) {
+            lookingForRoom = true;
+            loop.deadlines().after(ROOM_CHECK_US, () -> {
+                lookingForRoom = false;
+                makeRoom();
+            });
+        }
     }
 
     private ClientConnection evictable() {
@@ -165,12 +176,25 @@
         return rests && (silent == null || now - silent.sinceUs() < SILENT_US) ? rested : silent;
     }
 
+    private boolean crowded() {
+        return clients.size() > maxClients - ROOM;
+    }
+
     /**
-     * Whether nearly all places are taken. A request that would wait for a place, unaccepted, could not be
-     * answered in time; so what comes on the last places is refused at once.
+     * Whether requests in hand hold nearly all places. One that would wait for a place, unaccepted, could not
+     * be answered in time; so what comes on the last places is refused at once.
      */
-    boolean crowded() {
-        return clients.size() > maxClients - ROOM;
+    boolean full() {
+        return clients.size() - idle.size() - owing.size() >= maxClients - ROOM;
+    }
+
+    /** No request may be in hand after this time: the process may not live longer. */
+    public void answerBy(long us) {
+        answerByUs = us;
+    }
+
+    long answerBy() {
+        return answerByUs;
     }
 
     /** Accepts no more, and closes each client once it is between requests. */
--- a/src/test/java/frostreel/ServingTest.java
+++ b/src/test/java/frostreel/ServingTest.java
@@ -258,17 +258,13 @@
             assertThat(leaver.endsNext()).isTrue();
         }
         List<Stage.Link> clients = new ArrayList<>();
-        for (int i = 0; i < Stage.MAX_CLIENTS - 16; i++) {
+        for (int i = 0; i < Stage.MAX_CLIENTS; i++) {
             clients.add(stage.client());
             assertThat(value(clients.get(i).ask(look("c" + i, 9000)))).isEqualTo("from-replica");
         }
-        List<String> answer;
-        do { // Until the first has been idle for long enough, the last places serve nobody.
-            try (Stage.Link late = stage.client()) {
-                answer = late.ask(look("late", 9000));
-            }
-        } while (answer.get(0).startsWith("E"));
-        assertThat(value(answer)).isEqualTo("from-replica");
+        try (Stage.Link late = stage.client()) { // Once the first has been idle for long enough.
+            assertThat(value(late.ask(look("late", 9000)))).isEqualTo("from-replica");
+        }
         assertThat(clients.get(0).endsNext()).isTrue();
         for (Stage.Link c : clients) {
             c.close();
@@ -481,6 +477,11 @@
                 }
             });
             stop.start();
+            String last = "";
+            for (int i = 0; !last.matches(".*d=(3[0-2]|[12]?.)..,.*"); i++) { // Until SIGKILL, not 9 s.
+                assertThat(value(idle.ask(post("s" + i, 9000)))).isEqualTo("from-primary");
+                last = primary.next();
+            }
             assertThat(idle.endsNext()).isTrue(); // An idle client is closed while the other is still served.
             answer.countDown();
             assertThat(value(c.takeAnswer())).isEqualTo("late");
