--- a/src/main/java/frostreel/net/ClientConnection.java
+++ b/src/main/java/frostreel/net/ClientConnection.java
@@ -21,8 +21,8 @@
     private enum Phase { STARTUP, RUNNING, LINGERING, CLOSED }
 
     private static final byte[] SHOW_STATS = "SHOW stats\0".getBytes(StandardCharsets.US_ASCII);
-    /** The longest query: a value of 64 KiB written as text, twice as long, with room for the rest. */
-    private static final int MOST_BYTES = 1 << 18;
+    /** The longest query: a value of 64 KiB as hexadecimal text, twice as long, with room for the rest. */
+    private static final int MOST_BYTES = (1 << 17) + (1 << 12);
     /** So much may wait unread behind a request; beyond it the client is not read from. */
     private static final int BACKLOG_BYTES = 1 << 16;
     /** So long after connecting, or after the first byte of a message, a whole one must have come. */
