--- a/src/main/java/frostreel/Pooler.java
+++ b/src/main/java/frostreel/Pooler.java
@@ -45,7 +45,8 @@
                 config.maxOpen(), Brain::new);
         longestUs = config.settings().classes().stream().mapToLong(Router.RequestClass::deadlineUs).max()
                 .orElse(0);
-        listener = new Listener(loop, broker, config.settings().classes(), config.maxClients());
+        listener = new Listener(loop, broker, config.settings().classes(), config.maxClients(),
+                config.usualClients());
         watch = watch(config);
         loop.thread().execute(() -> start(config));
     }
--- a/src/main/java/frostreel/config/Config.java
+++ b/src/main/java/frostreel/config/Config.java
@@ -19,12 +19,14 @@
  * least: what the pooler must manage with anyway.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int maxClients,
-        int maxServerConnections, int maxOpen, HostList known, List<Object> zones, List<Object> kinds,
-        Router.Settings settings) {
+        int usualClients, int maxServerConnections, int maxOpen, HostList known, List<Object> zones,
+        List<Object> kinds, Router.Settings settings) {
     private static final int DEFAULT_SOCKETS = 1024;
     /** Descriptors for the program itself: its jar, selectors, the listener, discovery, a margin. */
     private static final int OWN_SOCKETS = 64;
     private static final int DEFAULT_OPEN = 4096;
+    /** The platform's word: for requests, clients hold at most this part of all descriptors. */
+    private static final int USUAL_PART = 3;
 
     /**
      * Reads {@code GW_CONFIG} and, where they are set, {@code GW_NAME}, {@code GW_LISTEN}, {@code
@@ -59,7 +61,8 @@
 
     private static Config read(Fields f, Map<String, String> environment) throws Malformed {
         Fields limits = f.has("limits") ? f.object("limits") : new Fields(Map.of());
-        int sockets = (int) limits.whole("sockets", 2 * OWN_SOCKETS, 1 << 20, DEFAULT_SOCKETS) - OWN_SOCKETS;
+        int descriptors = (int) limits.whole("sockets", 2 * OWN_SOCKETS, 1 << 20, DEFAULT_SOCKETS);
+        int sockets = descriptors - OWN_SOCKETS;
         int maxServers = sockets / 4;
         Fields options = f.object("settings");
         Router.Settings settings = SettingsReader.read(seed(f), options);
@@ -72,7 +75,8 @@
         return new Config(told(f, "name", environment, "GW_NAME"),
                 HostList.address(told(f, "listen", environment, "GW_LISTEN"), "listen"),
                 HostList.address(told(f, "discovery", environment, "GW_DISCOVERY"), "discovery"),
-                sockets - maxServers, maxServers, maxOpen, known, zones, kinds, settings);
+                sockets - maxServers, descriptors / USUAL_PART, maxServers, maxOpen, known, zones, kinds,
+                settings);
     }
 
     /** The environment's word goes first. */
--- a/src/main/java/frostreel/net/Listener.java
+++ b/src/main/java/frostreel/net/Listener.java
@@ -37,6 +37,9 @@
     private final List<Router.RequestClass> classes;
     private final Map<String, Integer> classNumbers = new HashMap<>();
     private final int maxClients;
+    /** Beyond so many clients that may ask, of which so many are idle, the longest idle is closed. */
+    private final int usualBound;
+    private final int idleBound;
     private final SlotTable<ClientConnection> clients;
     private AcceptingChannel<StreamConnection> channel;
     /** Clients between requests, and clients that have yet to send a whole one; the longest so first. */
@@ -47,12 +50,16 @@
     private boolean ready;
     private boolean closing;
 
-    public Listener(Loop loop, Broker broker, List<Router.RequestClass> classes, int maxClients) {
+    /** Of the {@code usualClients} that come to ask, half may stay open without a bound on the idle ones. */
+    public Listener(Loop loop, Broker broker, List<Router.RequestClass> classes, int maxClients,
+            int usualClients) {
         this.loop = loop;
         this.broker = broker;
         this.classes = classes;
         classes.forEach(c -> classNumbers.put(c.name(), classNumbers.size()));
         this.maxClients = maxClients;
+        usualBound = usualClients / 2;
+        idleBound = usualClients / 3;
         clients = new SlotTable<>(maxClients + 1);
     }
 
@@ -128,10 +135,23 @@
                 c.close();
             } else {
                 idle.add(c);
+                spareIdle();
             }
         }
     }
 
+    /**
+     * Clients that ask once and keep their connection use up the places from which usual clients may ask,
+     * long before our own cap is near: those that come later then find no connection to ask on, and are never
+     * heard. So where most of these places are taken, the longest idle gives its own up; in calm all stay.
+     */
+    private void spareIdle() {
+        if (idle.size() > idleBound && clients.size() - owing.size() > usualBound) {
+            loop.counters().clientsSpared++;
+            idle.iterator().next().close();
+        }
+    }
+
     /** A client has begun, and not yet finished, what it wants to say. */
     void owes(ClientConnection c) {
         idle.remove(c);
--- a/src/main/java/frostreel/stats/Counters.java
+++ b/src/main/java/frostreel/stats/Counters.java
@@ -11,6 +11,7 @@
     public long clientsGone;
     public long clientsSilent;
     public long clientsEvicted;
+    public long clientsSpared;
     public long malformed;
     public long strayBytes;
     public long unreadReports;
@@ -39,6 +40,7 @@
     @Override public String toString() {
         return "clients_accepted=" + clientsAccepted + " clients_closed=" + clientsClosed + " clients_gone="
                 + clientsGone + " clients_silent=" + clientsSilent + " clients_evicted=" + clientsEvicted
+                + " clients_spared=" + clientsSpared
                 + " malformed=" + malformed + " stray_bytes=" + strayBytes
                 + " unread_reports=" + unreadReports + " crowded_out=" + crowdedOut
                 + " requests=" + requests + " served=" + served
