Lay the house out as decisions, pooler and lab, with picocli and jboss-logmanager

Need: later subsystems are pure decisions with a lab beside them, and a command line and log lines by hand do not carry that far.

Change: a Maven reactor of three modules; deploy/balancer.toml follows the paths. frostreel.cli has one class a command; usage errors exit 2. Logs go through jboss-logmanager, the texts of docs/ONCALL.md as they were. LayersTest (ArchUnit) holds what may lean on what. Strings are concatenated inline, as invokedynamic spins up method handles at the start, and the rehearsal handles SIGHUP once, so that its classes are archived.

--- /dev/null
+++ b/lab/src/test/java/frostreel/lab/LayersTest.java
@@ -0,0 +1,59 @@
+package frostreel.lab;
+
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.belongToAnyOf;
+import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.base.DescribedPredicate;
+import com.tngtech.archunit.core.domain.JavaClass;
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import com.tngtech.archunit.lang.ArchRule;
+import java.time.Clock;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+import willowfield.WireAdapter;
+
+/** Which room may lean on which, within the lines that the build's modules hold. */
+class LayersTest {
+    /** The simulator's adapter reads and writes streams for the decisions; it decides nothing. */
+    private static final DescribedPredicate<JavaClass> DECISIONS = resideInAnyPackage("willowfield..",
+            "frostreel.zones..").and(DescribedPredicate.not(belongToAnyOf(WireAdapter.class)));
+    private static final JavaClasses ALL = new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("willowfield", "frostreel");
+
+    private static Stream<ArchRule> rules() {
+        return Stream.of(
+                noClasses().that(DECISIONS).should().dependOnClassesThat(resideInAnyPackage("java.io..",
+                        "java.net..", "java.nio..", "java.util.logging..", "java.util.concurrent..",
+                        "org.xnio..", "org.jboss..")
+                        .or(belongToAnyOf(Thread.class, Clock.class, Runtime.class)))
+                        .because("equal events must give equal actions"),
+                noClasses().that(DECISIONS).should().callMethod(System.class, "nanoTime")
+                        .orShould().callMethod(System.class, "currentTimeMillis")
+                        .orShould().callMethod(Math.class, "random")
+                        .orShould().dependOnClassesThat(belongToAnyOf(ThreadLocalRandom.class))
+                        .because("time and seed are handed in"),
+                noClasses().that().resideInAPackage("frostreel.broker..").should().dependOnClassesThat()
+                        .resideInAnyPackage("frostreel.pg..", "frostreel.net..", "org.xnio..", "java.net..")
+                        .because("the broker knows no protocol"),
+                noClasses().that().resideInAPackage("frostreel.pg..").should().dependOnClassesThat()
+                        .resideInAnyPackage("org.xnio..", "java.net..", "java.nio.channels..",
+                                "frostreel.net..")
+                        .because("a parser has no sockets"),
+                noClasses().that().resideOutsideOfPackages("frostreel.cli..", "frostreel.lab..")
+                        .should().dependOnClassesThat().resideInAPackage("picocli..")
+                        .because("serving does not pay for the command line"),
+                noClasses().that().resideOutsideOfPackages("frostreel.lab..").should()
+                        .dependOnClassesThat().resideInAPackage("frostreel.lab..")
+                        .because("the lab is not on the serving class path"));
+    }
+
+    @TestFactory Stream<DynamicTest> layersHold() {
+        return rules().map(rule -> DynamicTest.dynamicTest(rule.getDescription(), () -> rule.check(ALL)));
+    }
+}
--- a/src/main/java/frostreel/Hangup.java
+++ b/pooler/src/main/java/frostreel/cli/Hangup.java
@@ -1,4 +1,4 @@
-package frostreel;
+package frostreel.cli;
 
 import java.lang.reflect.Proxy;
 
--- a/src/main/java/frostreel/Rehearsal.java
+++ b/pooler/src/main/java/frostreel/cli/Rehearsal.java
@@ -1,5 +1,6 @@
-package frostreel;
+package frostreel.cli;
 
+import frostreel.Pooler;
 import frostreel.config.Config;
 import frostreel.config.ConfigException;
 import frostreel.pg.Messages;
@@ -30,6 +31,7 @@
     private Rehearsal() {}
 
     static void run() throws IOException, ConfigException, InterruptedException {
+        Hangup.handle(() -> { });
         String address;
         try (ServerSocket free = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             address = "127.0.0.1:" + free.getLocalPort();
--- a/src/main/java/frostreel/Main.java
+++ b/pooler/src/main/java/frostreel/cli/Serve.java
@@ -1,57 +1,32 @@
-package frostreel;
+package frostreel.cli;
 
+import frostreel.Pooler;
 import frostreel.config.Config;
 import frostreel.config.ConfigException;
 import java.io.IOException;
-import java.io.InputStream;
+import java.util.concurrent.Callable;
 import java.util.concurrent.RejectedExecutionException;
-import java.util.logging.LogManager;
 import java.util.logging.Logger;
-import willowfield.WireAdapter;
-
-/**
- * The command line: {@code serve} is the real pooler, {@code simhost} plays its decisions on the bench's
- * wire, {@code rehearse} goes through serving once, for the class archive that the build makes.
- */
-public final class Main {
-    private static final Logger LOG = Logger.getLogger(Main.class.getName());
-
-    private Main() {}
-
-    public static void main(String[] args) throws IOException {
-        if (args.length == 1 && args[0].equals("serve")) {
-            serve();
-        } else if (args.length == 1 && args[0].equals("simhost")) {
-            System.exit(WireAdapter.run(System.in, System.out, System.err));
-        } else if (args.length == 1 && args[0].equals("rehearse")) {
-            rehearse();
-        } else {
-            System.err.println("usage: java -jar frostreel.jar serve | simhost | rehearse");
-            System.exit(2);
-        }
-    }
-
-    private static void rehearse() throws IOException {
-        try {
-            Rehearsal.run();
-            System.exit(0);
-        } catch (ConfigException | InterruptedException e) {
-            System.err.println("frostreel: the rehearsal failed: " + e);
-            System.exit(1);
-        }
-    }
-
-    private static void serve() throws IOException {
-        try (InputStream in = Main.class.getResourceAsStream("/logging.properties")) {
-            LogManager.getLogManager().readConfiguration(in);
-        }
+import picocli.CommandLine.Command;
+
+/** The pooler, in the foreground, until SIGTERM; its configuration comes by the environment. */
+@Command(name = "serve",
+        description = "Runs the pooler in the foreground; GW_CONFIG names its configuration.",
+        mixinStandardHelpOptions = true)
+final class Serve implements Callable<Integer> {
+    /** No exit code: the pooler's own threads go on. */
+    static final int GOES_ON = -1;
+    private static final Logger LOG = Logger.getLogger(Serve.class.getName());
+
+    @Override public Integer call() throws IOException {
         try {
             Pooler pooler = new Pooler(Config.load(System.getenv()));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(pooler), "stop"));
             Hangup.handle(() -> reload(pooler));
+            return GOES_ON;
         } catch (ConfigException e) {
             System.err.println("frostreel: " + e.getMessage());
-            System.exit(2);
+            return 2;
         }
     }
 
--- /dev/null
+++ b/pooler/src/main/java/frostreel/cli/SimHost.java
@@ -0,0 +1,16 @@
+package frostreel.cli;
+
+import java.io.IOException;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import willowfield.WireAdapter;
+
+/** The decisions alone, on the simulator's wire. */
+@Command(name = "simhost",
+        description = "Plays the decisions on the simulator's wire, by standard input and output.",
+        mixinStandardHelpOptions = true)
+final class SimHost implements Callable<Integer> {
+    @Override public Integer call() throws IOException {
+        return WireAdapter.run(System.in, System.out, System.err);
+    }
+}
--- a/src/test/java/frostreel/ServingTest.java
+++ b/pooler/src/test/java/frostreel/ServingTest.java
@@ -443,7 +443,7 @@
         Path file = Path.of(environment.get("GW_CONFIG"));
         environment.put("GW_DISCOVERY", stage.discovery.address()); // As old as the start: the file must win.
         ProcessBuilder command = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(),
-                "-cp", System.getProperty("java.class.path"), "frostreel.Main", "serve");
+                "-cp", System.getProperty("java.class.path"), "frostreel.cli.Main", "serve");
         command.environment().putAll(environment);
         Process program = command.start();
         try (BufferedReader log = program.errorReader()) {
