Read what a client has sent before closing it as idle

At fault: Listener.spareIdle, and likewise makeRoom and the closing at the end, which closed without a look at the socket.

Change: ClientConnection.closeUnlessAsking reads once first; a client that has asked is served and stays. All three places use it. The test stalls the I/O thread while idle clients ask, and fails without the read.

--- a/pooler/src/main/java/frostreel/net/ClientConnection.java
+++ b/pooler/src/main/java/frostreel/net/ClientConnection.java
@@ -303,6 +303,22 @@
         return phase == Phase.RUNNING && !busy && stream.flushed() && reader.buffered() == 0;
     }
 
+    /**
+     * Closes it unless a request has come meanwhile: while the thread is busy many wait unread, and one on a
+     * connection that we close costs its client the way here, or, the second time, the answer.
+     */
+    boolean closeUnlessAsking() {
+        boolean heard = stream.readNow();
+        if (phase == Phase.CLOSED || heard && busy) {
+            return false;
+        }
+        if (heard && restsBetweenRequests()) {
+            return false; // It asked, and has its answer: no longer the longest idle.
+        }
+        close();
+        return true;
+    }
+
     void close() {
         if (phase == Phase.CLOSED) {
             return;
--- a/pooler/src/main/java/frostreel/net/Listener.java
+++ b/pooler/src/main/java/frostreel/net/Listener.java
@@ -47,6 +47,7 @@
     private final Set<ClientConnection> owing = new LinkedHashSet<>();
     private long answerByUs = Long.MAX_VALUE;
     private boolean lookingForRoom;
+    private boolean sparing;
     private boolean ready;
     private boolean closing;
 
@@ -132,7 +133,7 @@
         if (c.restsBetweenRequests()) {
             owing.remove(c);
             if (closing) {
-                c.close();
+                c.closeUnlessAsking();
             } else {
                 idle.add(c);
                 spareIdle();
@@ -146,10 +147,17 @@
      * heard. So where most of these places are taken, the longest idle gives its own up; in calm all stay.
      */
     private void spareIdle() {
-        if (idle.size() > idleBound && clients.size() - owing.size() > usualBound) {
-            loop.counters().clientsSpared++;
-            idle.iterator().next().close();
+        if (sparing) {
+            return; // By a request that was found while looking for one to close.
         }
+        sparing = true;
+        for (int looks = idle.size(); looks > 0 && idle.size() > idleBound
+                && clients.size() - owing.size() > usualBound; looks--) {
+            if (idle.iterator().next().closeUnlessAsking()) {
+                loop.counters().clientsSpared++;
+            }
+        }
+        sparing = false;
     }
 
     /** A client has begun, and not yet finished, what it wants to say. */
@@ -176,8 +184,9 @@
      */
     private void makeRoom() {
         for (ClientConnection c = evictable(); crowded() && c != null; c = evictable()) {
-            loop.counters().clientsEvicted++;
-            c.close();
+            if (c.closeUnlessAsking()) {
+                loop.counters().clientsEvicted++;
+            }
         }
         if (crowded() && !lookingForRoom) {
             lookingForRoom = true;
--- a/pooler/src/main/java/frostreel/net/Stream.java
+++ b/pooler/src/main/java/frostreel/net/Stream.java
@@ -40,6 +40,7 @@
     private final ConduitStreamSinkChannel sink;
     private final Handler handler;
     private final ArrayDeque<ByteBuffer> output = new ArrayDeque<>();
+    private long reads;
     private boolean ending;
     private boolean closed;
 
@@ -94,10 +95,18 @@
             } else if (n == 0) {
                 return;
             }
+            reads++;
             handler.received(in.flip());
         }
     }
 
+    /** Hands on what has come and is still unread; whether there was any, or the other side had ended. */
+    boolean readNow() {
+        long before = reads;
+        guarded(this::readable);
+        return closed || reads != before;
+    }
+
     /** Writes what the socket takes now; the rest waits until it is writable. */
     public void write(byte[] bytes) {
         if (closed) {
--- a/pooler/src/test/java/frostreel/ServingTest.java
+++ b/pooler/src/test/java/frostreel/ServingTest.java
@@ -54,7 +54,7 @@
     }
 
     private static String value(List<String> answer) {
-        assertThat(answer).extracting(m -> m.charAt(0)).containsExactly('T', 'D', 'C');
+        assertThat(answer).as("%s", answer).extracting(m -> m.charAt(0)).containsExactly('T', 'D', 'C');
         return answer.get(1).substring(7);
     }
 
@@ -295,7 +295,9 @@
             }
         }
         int closed = Stage.USUAL_CLIENTS - calm;
-        assertThat(stage.pooler.counters()).contains(" clients_spared=" + closed + " ");
+        while (!stage.pooler.counters().contains(" clients_spared=" + closed + " ")) {
+            Thread.onSpinWait(); // The last answer comes before the next is spared.
+        }
         for (int i = 0; i < closed; i++) { // The longest idle first.
             assertThat(clients.get(i).endsNext()).isTrue();
         }
@@ -307,6 +309,66 @@
         }
     }
 
+    @Test void anIdleClientWhoseRequestWaitsUnreadIsNotClosedButAnswered() throws Exception {
+        primary.script = (text, link) -> {
+            if (!text.startsWith("QINSERT")) {
+                link.send(row("from-primary", "primary"), Stage.READY);
+            }
+        };
+        start();
+        List<Stage.Link> idle = new ArrayList<>();
+        List<Stage.Link> others = new ArrayList<>();
+        for (int i = 0; i < Stage.USUAL_CLIENTS / 3; i++) {
+            idle.add(stage.client());
+            assertThat(value(idle.get(i).ask(look("c" + i, 9000)))).isEqualTo("from-replica");
+        }
+        for (int i = idle.size(); i <= Stage.USUAL_CLIENTS / 2; i++) { // With a request in hand, not idle.
+            others.add(stage.client());
+            others.get(others.size() - 1).send(query(post("p" + i, 9000)));
+        }
+        List<Stage.Link> late = List.of(stage.client(), stage.client(), stage.client(), stage.client());
+        int longest = late.size() + 2; // So many are looked at, and more than those that might be closed.
+        CountDownLatch held = new CountDownLatch(1);
+        CountDownLatch release = new CountDownLatch(1);
+        Handler stall = new StreamHandler() {
+            @Override public void publish(LogRecord r) {
+                held.countDown();
+                try {
+                    release.await();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        };
+        Logger log = Logger.getLogger("frostreel.Pooler");
+        log.addHandler(stall);
+        try { // The I/O thread stands still while all of them ask, the late ones what is answered at once.
+            stage.pooler.reload(frostreel.config.Config.load(Stage.environment(
+                    Stage.configuration(stage.discovery.address()))));
+            held.await();
+            for (Stage.Link c : late) {
+                c.send(query(""));
+            }
+            for (int i = 0; i < longest; i++) {
+                idle.get(i).send(query(look("d" + i, 9000)));
+            }
+        } finally {
+            log.removeHandler(stall);
+            release.countDown();
+        }
+        for (Stage.Link c : idle.subList(0, longest)) {
+            assertThat(value(c.takeAnswer())).startsWith("from-");
+        }
+        for (Stage.Link c : late) {
+            assertThat(c.takeAnswer()).containsExactly("I");
+        }
+        others.addAll(idle);
+        others.addAll(late);
+        for (Stage.Link c : others) {
+            c.close();
+        }
+    }
+
     @Test void silentClientsKeepNobodyOutAndAreToldAndClosed() throws Exception {
         start();
         List<Stage.Link> silent = new ArrayList<>();
