Read operators' settings from XML against a schema, and check them by a command

Need: zones, contracts and inventory have settings that the platform does not know; they must be checked whole before anything runs by them.

Change: frostreel.settings validates while parsing (no document type, nothing from outside, 1 MiB at most), tells every fault at once with file, line, column and key, and maps a good file to records. First settings: format (text, JSON) and level of the log.

--- a/pooler/src/main/java/frostreel/cli/Main.java
+++ b/pooler/src/main/java/frostreel/cli/Main.java
@@ -9,7 +9,7 @@
 @Command(name = "frostreel", description = "A pooler that routes over replicated databases.",
         mixinStandardHelpOptions = true, versionProvider = Main.Version.class,
         synopsisSubcommandLabel = "COMMAND",
-        subcommands = {Serve.class, SimHost.class, Rehearse.class})
+        subcommands = {Serve.class, SimHost.class, Rehearse.class, Check.class})
 public final class Main {
     /** The version that the jar was built as. */
     static final class Version implements CommandLine.IVersionProvider {
--- a/pooler/src/main/java/frostreel/cli/Serve.java
+++ b/pooler/src/main/java/frostreel/cli/Serve.java
@@ -3,11 +3,16 @@
 import frostreel.Pooler;
 import frostreel.config.Config;
 import frostreel.config.ConfigException;
+import frostreel.log.Logging;
+import frostreel.settings.FaultyFileException;
+import frostreel.settings.OperatorSettings;
 import java.io.IOException;
+import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.concurrent.RejectedExecutionException;
 import java.util.logging.Logger;
 import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
 
 /** The pooler, in the foreground, until SIGTERM; its configuration comes by the environment. */
 @Command(name = "serve",
@@ -18,20 +23,39 @@
     static final int GOES_ON = -1;
     private static final Logger LOG = Logger.getLogger(Serve.class.getName());
 
+    @Option(names = "--settings", paramLabel = "FILE",
+            description = "The operators' settings, as deploy/frostreel.xml; read again at SIGHUP.")
+    private Path settings;
+
     @Override public Integer call() throws IOException {
         try {
+            if (settings != null) {
+                apply(OperatorSettings.read(settings));
+            }
             Pooler pooler = new Pooler(Config.load(System.getenv()));
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(pooler), "stop"));
             Hangup.handle(() -> reload(pooler));
             return GOES_ON;
-        } catch (ConfigException e) {
+        } catch (ConfigException | FaultyFileException e) {
             System.err.println("frostreel: " + e.getMessage());
             return 2;
         }
     }
 
+    private static void apply(OperatorSettings settings) {
+        Logging.configure(settings.logFormat(), settings.logLevel());
+    }
+
     /** On the signal's own thread, as reading a file may block; one at a time, so that the last file wins. */
-    private static synchronized void reload(Pooler pooler) {
+    private synchronized void reload(Pooler pooler) {
+        if (settings != null) {
+            try {
+                apply(OperatorSettings.read(settings));
+                LOG.info("the settings of " + settings + " hold");
+            } catch (FaultyFileException e) {
+                LOG.warning(e.getMessage() + "; the settings in force are kept");
+            }
+        }
         try {
             pooler.reload(Config.reload(System.getenv()));
         } catch (ConfigException e) {
--- a/pooler/src/main/java/frostreel/log/Logging.java
+++ b/pooler/src/main/java/frostreel/log/Logging.java
@@ -32,6 +32,15 @@
         LogContext.getLogContext().getLogger("org.jboss.threads").setLevel(Level.WARNING);
     }
 
+    /** Goes over to another form or level; lines already written stay as they are. */
+    public static void configure(Format format, Level level) {
+        Logger root = LogContext.getLogContext().getLogger("");
+        for (Handler h : root.getHandlers()) {
+            h.setFormatter(formatter(format));
+        }
+        root.setLevel(level);
+    }
+
     private static ExtFormatter formatter(Format format) {
         return format == Format.JSON ? new JsonFormatter() : new PatternFormatter(TEXT);
     }
--- a/pooler/src/test/java/frostreel/ServingTest.java
+++ b/pooler/src/test/java/frostreel/ServingTest.java
@@ -531,6 +531,30 @@
         }
     }
 
+    @Test void aHangupTakesNewSettingsAndAFaultyFileNeverReplacesThem() throws Exception {
+        Path settings = Files.createTempFile("settings", ".xml");
+        String good = "<frostreel xmlns=\"urn:frostreel:settings:1\"><log format=\"json\"/></frostreel>";
+        Files.writeString(settings, good);
+        ProcessBuilder command = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(),
+                "-cp", System.getProperty("java.class.path"), "frostreel.cli.Main", "serve", "--settings",
+                settings.toString());
+        command.environment().putAll(Stage.environment(Stage.configuration(stage.discovery.address())));
+        Process program = command.start();
+        try (BufferedReader log = program.errorReader()) {
+            stage.lists.add(list(7, true));
+            await(log, "\"message\":\"ready\"");
+            Files.writeString(settings, good.replace("json", "xml"));
+            hangUp(program);
+            await(log, "frostreel/log@format"); // Told in JSON still.
+            Files.writeString(settings, good.replace("json", "text"));
+            hangUp(program);
+            await(log, "INFO frostreel.cli.Serve: the settings of");
+        } finally {
+            program.destroyForcibly();
+        }
+        Files.delete(settings);
+    }
+
     private static void hangUp(Process program) throws Exception {
         new ProcessBuilder("kill", "-HUP", Long.toString(program.pid())).start().waitFor();
     }
--- a/pooler/src/test/java/frostreel/cli/MainTest.java
+++ b/pooler/src/test/java/frostreel/cli/MainTest.java
@@ -4,7 +4,10 @@
 
 import java.io.PrintWriter;
 import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
 import picocli.CommandLine;
 
 class MainTest {
@@ -22,6 +25,18 @@
         assertThat(out.toString()).isEmpty();
     }
 
+    @Test void checkTellsEveryFaultOfEveryFile(@TempDir Path folder) throws Exception {
+        String head = "<frostreel xmlns='urn:frostreel:settings:1'>";
+        Path good = Files.writeString(folder.resolve("good.xml"), head + "</frostreel>");
+        Path bad = Files.writeString(folder.resolve("bad.xml"), head + "<log level='x'/><y/></frostreel>");
+        assertThat(line.execute("check", good.toString())).isZero();
+        assertThat(line.execute("check", good.toString(), bad.toString(), folder.resolve("no").toString()))
+                .isEqualTo(2);
+        assertThat(out.toString()).contains("good.xml: good").doesNotContain("bad.xml");
+        assertThat(err.toString()).contains("bad.xml:1:", "frostreel/log@level", "frostreel/y",
+                "cannot be read");
+    }
+
     @Test void helpNamesEachCommandAndTheVersionIsShown() {
         assertThat(line.execute("--help")).isZero();
         assertThat(out.toString()).contains("serve", "simhost", "rehearse");
--- /dev/null
+++ b/pooler/src/test/java/frostreel/settings/OperatorSettingsTest.java
@@ -0,0 +1,70 @@
+package frostreel.settings;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import frostreel.log.Logging;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.logging.Level;
+import org.assertj.core.api.InstanceOfAssertFactories;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class OperatorSettingsTest {
+    private static final String HEAD = "<frostreel xmlns=\"urn:frostreel:settings:1\">\n";
+    @TempDir Path folder;
+
+    private Path file(String text) throws IOException {
+        return Files.writeString(folder.resolve("f.xml"), text);
+    }
+
+    private List<Fault> faults(String text) throws IOException {
+        Path file = file(text);
+        return assertThatThrownBy(() -> OperatorSettings.read(file)).isInstanceOf(FaultyFileException.class)
+                .asInstanceOf(InstanceOfAssertFactories.type(FaultyFileException.class)).actual().faults();
+    }
+
+    @Test void theShippedFileIsGoodAndChangesNothing() throws Exception {
+        assertThat(OperatorSettings.read(Path.of("../deploy/frostreel.xml")))
+                .isEqualTo(OperatorSettings.DEFAULT);
+    }
+
+    @Test void defaultsAreFilledIn() throws Exception {
+        assertThat(OperatorSettings.read(file(HEAD + "<log format=\"json\"/></frostreel>")))
+                .isEqualTo(new OperatorSettings(Logging.Format.JSON, Level.INFO));
+        assertThat(OperatorSettings.read(file(HEAD + "</frostreel>"))).isEqualTo(OperatorSettings.DEFAULT);
+    }
+
+    @Test void allFaultsAreToldAtOnceWithLineAndKey() throws Exception {
+        List<Fault> faults = faults(HEAD + "<log format=\"yaml\"\n level=\"loud\" colour=\"red\"/>\n<pool/>\n"
+                + "</frostreel>");
+        assertThat(faults).extracting(Fault::line).containsExactly(3, 3, 3, 4);
+        assertThat(faults).extracting(Fault::key).containsExactlyInAnyOrder("frostreel/log@format",
+                "frostreel/log@level", "frostreel/log@colour", "frostreel/pool");
+        assertThat(faults).allSatisfy(f -> assertThat(f.file()).endsWith("f.xml"));
+        assertThat(faults.get(0).toString()).containsPattern("f\\.xml:3:\\d+: frostreel/log@\\w+: .+");
+    }
+
+    @Test void whatIsNotWellFormedIsToldByLine() throws Exception {
+        assertThat(faults(HEAD + "<log>\n</frostreel>")).singleElement()
+                .satisfies(f -> assertThat(f.line()).isEqualTo(3));
+        assertThat(faults("")).singleElement();
+    }
+
+    @Test void noDocumentTypeAndNothingFromOutsideIsRead() throws Exception {
+        Path secret = Files.writeString(folder.resolve("secret"), "json");
+        List<Fault> faults = faults("<!DOCTYPE frostreel [<!ENTITY x SYSTEM \"" + secret.toUri() + "\">]>\n"
+                + HEAD + "<log format=\"&x;\"/></frostreel>");
+        assertThat(faults).singleElement().satisfies(f -> assertThat(f.text()).contains("DOCTYPE"));
+    }
+
+    @Test void theSizeIsBoundedAndAMissingFileIsAFault() throws Exception {
+        assertThat(faults(HEAD + " ".repeat(XmlFile.MOST_BYTES))).singleElement()
+                .satisfies(f -> assertThat(f.text()).contains("larger"));
+        assertThatThrownBy(() -> OperatorSettings.read(folder.resolve("none")))
+                .hasMessageContaining("cannot be read");
+    }
+}
