--- /dev/null
+++ b/lab/src/main/java/frostreel/lab/model/Server.java
@@ -0,0 +1,284 @@
+package frostreel.lab.model;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import willowfield.Router.Outcome;
+import willowfield.Router.Role;
+
+/** One database server: cores, a queue, a log position, and what knocks it over. It knows no network. */
+public final class Server {
+    /** A request at a server; it ends once, or is cancelled. */
+    public static final class Job {
+        final double work;
+        final boolean write;
+        final long needUs;
+        final Done done;
+        private boolean over;
+        private boolean running;
+
+        /**
+         * {@code workUs}: of a core of speed 1; {@code needUs}: the position that a read has to see, or 0.
+         */
+        public Job(double workUs, boolean write, long needUs, Done done) {
+            work = workUs;
+            this.write = write;
+            this.needUs = needUs;
+            this.done = done;
+        }
+    }
+
+    /** What a server answers, in the moment in which it does. */
+    public interface Done {
+        void ended(Outcome outcome, Role role, long positionUs, double util);
+    }
+
+    private record Sent(long atUs, double work) {}
+
+    private final Kernel kernel;
+    private final Physics physics;
+    public final String id;
+    public final int zone;
+    public final int group;
+    private final int cores;
+    private final double speed;
+    private final ArrayDeque<Job> queue = new ArrayDeque<>();
+    private final ArrayDeque<Job> inWork = new ArrayDeque<>();
+    private int running;
+    private boolean up = true;
+    private boolean fallen;
+    private boolean vanished;
+    private boolean primary;
+    private long bornUs;
+    private double slowdown = 1;
+    private double replayRate;
+    private long appliedUs;
+    private long appliedAtUs;
+    private boolean fed = true;
+    /** Work sent while cold, within the rule's window. */
+    private final ArrayDeque<Sent> sent = new ArrayDeque<>();
+    private double sentWork;
+    private double largestMultiple;
+
+    public Server(Kernel kernel, Physics physics, String id, int zone, int group, int cores, double speed) {
+        this.kernel = kernel;
+        this.physics = physics;
+        this.id = id;
+        this.zone = zone;
+        this.group = group;
+        this.cores = cores;
+        this.speed = speed;
+        replayRate = physics.replayRate();
+        appliedUs = kernel.now() - physics.logDelayUs();
+        appliedAtUs = kernel.now();
+    }
+
+    public boolean up() {
+        return up;
+    }
+
+    public boolean fallen() {
+        return fallen;
+    }
+
+    public boolean primary() {
+        return primary;
+    }
+
+    /** When it last started, 0 for long ago. */
+    public long bornUs() {
+        return bornUs;
+    }
+
+    /** The largest multiple of its present capacity that it was sent over the rule's window while cold. */
+    public double largestMultiple() {
+        return largestMultiple;
+    }
+
+    /** Cores' worth of work that it can do in a moment. */
+    public double capacity() {
+        return cores * speed * warmth() / slowdown;
+    }
+
+    private double warmth() {
+        if (bornUs == 0) {
+            return 1;
+        }
+        double share = (double) (kernel.now() - bornUs) / physics.warmAfterUs();
+        return Math.min(1, physics.coldFrom() + (1 - physics.coldFrom()) * share);
+    }
+
+    public void slowDown(double times) {
+        slowdown = times;
+    }
+
+    public void replayAt(double rate) {
+        applied();
+        replayRate = rate;
+    }
+
+    /** Whether the primary's log reaches it: not while the group has none, nor across a cut. */
+    public void feed(boolean isFed) {
+        applied();
+        fed = isFed;
+    }
+
+    public void promote(boolean isPrimary) {
+        appliedUs = applied();
+        appliedAtUs = kernel.now();
+        primary = isPrimary;
+    }
+
+    /** A time up to which it has applied every commit. */
+    public long applied() {
+        long now = kernel.now();
+        if (primary) {
+            appliedUs = now;
+        } else if (fed) {
+            long moved = appliedUs + (long) (replayRate * (now - appliedAtUs));
+            appliedUs = Math.max(appliedUs, Math.min(now - physics.logDelayUs(), moved));
+        }
+        appliedAtUs = now;
+        return appliedUs;
+    }
+
+    /** Its machine is gone: it says nothing, and neither do its connections. */
+    public void vanish() {
+        vanished = true;
+        stop();
+    }
+
+    /** Its process ends: what it held ends as a reset. */
+    public void crash() {
+        List<Job> held = new ArrayList<>(inWork);
+        held.addAll(queue);
+        stop();
+        held.forEach(job -> job.done.ended(Outcome.RESET, Role.UNKNOWN, 0, 0));
+    }
+
+    private void stop() {
+        applied();
+        up = false;
+        primary = false;
+        inWork.forEach(job -> job.over = true);
+        queue.forEach(job -> job.over = true);
+        inWork.clear();
+        queue.clear();
+        running = 0;
+    }
+
+    /** Whether it says nothing, not even that it is gone. */
+    public boolean vanished() {
+        return vanished;
+    }
+
+    /** It starts cold, and goes on from where its log stood. */
+    public void start() {
+        vanished = false;
+        if (!fallen) {
+            applied();
+            up = true;
+            bornUs = kernel.now();
+            sent.clear();
+            sentWork = 0;
+        }
+    }
+
+    /** A request's last byte has come. */
+    public void arrive(Job job) {
+        if (!up) {
+            job.over = true;
+            if (!vanished) {
+                job.done.ended(Outcome.RESET, Role.UNKNOWN, 0, 0);
+            }
+            return;
+        }
+        if (bornUs != 0 && pushedOver(job.work)) {
+            fallen = true;
+            end(job, Outcome.RESET);
+            crash();
+            return;
+        }
+        if (job.write && !primary || job.needUs > applied()) {
+            end(job, Outcome.MISS);
+        } else if (running < cores) {
+            begin(job);
+        } else if (queue.size() >= physics.queue()) {
+            end(job, Outcome.FULL);
+        } else {
+            queue.add(job);
+        }
+    }
+
+    private boolean pushedOver(double work) {
+        long now = kernel.now();
+        if (now - bornUs > physics.warmAfterUs() + physics.fallUs()) {
+            return false;
+        }
+        sent.add(new Sent(now, work));
+        sentWork += work;
+        while (sent.peek().atUs < now - physics.fallUs()) {
+            sentWork -= sent.poll().work;
+        }
+        if (sent.size() == 1) {
+            return false; // One request alone is no push, however cold its server.
+        }
+        double multiple = sentWork / (capacity() * physics.fallUs());
+        largestMultiple = Math.max(largestMultiple, multiple);
+        return multiple > physics.fallMultiple();
+    }
+
+    private void begin(Job job) {
+        running++;
+        job.running = true;
+        inWork.add(job);
+        long took = (long) (job.work / (speed * warmth() / slowdown));
+        kernel.after(took, () -> finish(job));
+    }
+
+    private void finish(Job job) {
+        if (!job.over) {
+            inWork.remove(job);
+            running--;
+            end(job, job.write && !primary ? Outcome.ERROR : Outcome.OK);
+            next();
+        }
+    }
+
+    private void next() {
+        while (running < cores && !queue.isEmpty()) {
+            Job job = queue.poll();
+            if (!job.over) {
+                begin(job);
+            }
+        }
+    }
+
+    /** Its sender gave it up: a running one stops, a waiting one never begins. */
+    public void cancel(Job job) {
+        if (!job.over) {
+            job.over = true;
+            if (job.running) {
+                inWork.remove(job);
+                running--;
+                next();
+            } else {
+                queue.remove(job);
+            }
+        }
+    }
+
+    private void end(Job job, Outcome outcome) {
+        job.over = true;
+        job.done.ended(outcome, role(), applied(), util());
+    }
+
+    public Role role() {
+        return primary ? Role.PRIMARY : Role.REPLICA;
+    }
+
+    /** Share of its cores in use. */
+    public double util() {
+        return (double) running / cores;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/frostreel/lab/rules/RuleBook.java
@@ -0,0 +1,218 @@
+package frostreel.lab.rules;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import willowfield.Router.Limits;
+import willowfield.Router.Outcome;
+import willowfield.Router.Repeat;
+import willowfield.Router.RequestClass;
+import willowfield.Router.Rules;
+import willowfield.Router.State;
+
+/** Every rule, fed with one run. A request's name is its own at all poolers. */
+public final class RuleBook implements Witness {
+    /** Exactly one answer, before the client gives up. */
+    static final class OneAnswer extends Rule {
+        private final long slackUs;
+        private final Map<String, Long> open = new HashMap<>();
+
+        OneAnswer(long slackUs) {
+            super("one final answer in time");
+            this.slackUs = slackUs;
+        }
+
+        @Override public void asked(long nowUs, int pooler, String id, RequestClass c, long deadlineUs) {
+            open.put(id, deadlineUs);
+        }
+
+        @Override public void answered(long nowUs, int pooler, String id, Answer answer) {
+            Long deadlineUs = open.remove(id);
+            if (deadlineUs == null) {
+                convict(nowUs, id + " was answered again");
+            } else if (nowUs > deadlineUs + slackUs) {
+                convict(nowUs, id + " was answered " + (nowUs - deadlineUs) + " us late");
+            }
+        }
+
+        void end(long nowUs) {
+            open.forEach((id, deadlineUs) -> {
+                if (nowUs > deadlineUs + slackUs) {
+                    convict(nowUs, id + " was never answered");
+                }
+            });
+        }
+    }
+
+    /** Never two attempts of a request in flight, and no more than the limit. */
+    static final class Attempts extends Rule {
+        private final int most;
+        private final Set<String> out = new HashSet<>();
+        private final Map<String, Integer> counts = new HashMap<>();
+
+        Attempts(int most) {
+            super("one attempt at a time, " + most + " at most");
+            this.most = most;
+        }
+
+        @Override public void sent(long nowUs, int pooler, String id, String server) {
+            if (!out.add(id)) {
+                convict(nowUs, id + " was sent to " + server + " with an attempt in flight");
+            }
+            if (counts.merge(id, 1, Integer::sum) > most) {
+                convict(nowUs, id + " was sent more than " + most + " times");
+            }
+        }
+
+        @Override public void ended(long nowUs, int pooler, String id, Outcome outcome, boolean mayHaveRun) {
+            out.remove(id);
+        }
+
+        @Override public void answered(long nowUs, int pooler, String id, Answer answer) {
+            counts.remove(id);
+        }
+    }
+
+    /** What may have run is sent again only as its class permits. */
+    static final class Repeats extends Rule {
+        private final Map<String, RequestClass> classes = new HashMap<>();
+        private final Map<String, Long> begun = new HashMap<>();
+        private final Map<String, Long> doubted = new HashMap<>();
+
+        Repeats() {
+            super("sent again only as the class permits");
+        }
+
+        @Override public void asked(long nowUs, int pooler, String id, RequestClass c, long deadlineUs) {
+            classes.put(id, c);
+        }
+
+        @Override public void sent(long nowUs, int pooler, String id, String server) {
+            Long since = doubted.get(id);
+            RequestClass c = classes.get(id);
+            if (since != null && c != null && c.repeat() != Repeat.SAFE
+                    && (c.repeat() == Repeat.UNSAFE || nowUs > since + c.windowUs())) {
+                convict(nowUs, id + " may have run, and was sent again to " + server);
+            }
+            begun.put(id, nowUs);
+        }
+
+        @Override public void ended(long nowUs, int pooler, String id, Outcome outcome, boolean mayHaveRun) {
+            Long since = begun.remove(id);
+            if (mayHaveRun && since != null) {
+                doubted.putIfAbsent(id, since);
+            }
+        }
+
+        @Override public void answered(long nowUs, int pooler, String id, Answer answer) {
+            classes.remove(id);
+            doubted.remove(id);
+        }
+    }
+
+    /** Nothing new to a server later than the stated time after its drain or end was told. */
+    static final class Drains extends Rule {
+        private final long withinUs;
+        private final Map<Integer, Map<String, Long>> toldUs = new HashMap<>();
+
+        Drains(long withinUs) {
+            super("drains and ends kept");
+            this.withinUs = withinUs;
+        }
+
+        @Override public void told(long nowUs, int pooler, String server, State state) {
+            Map<String, Long> own = toldUs.computeIfAbsent(pooler, p -> new HashMap<>());
+            if (state == State.UP) {
+                own.remove(server);
+            } else {
+                own.putIfAbsent(server, nowUs);
+            }
+        }
+
+        @Override public void sent(long nowUs, int pooler, String id, String server) {
+            Long at = toldUs.getOrDefault(pooler, Map.of()).get(server);
+            if (at != null && nowUs > at + withinUs) {
+                convict(nowUs, id + " was sent to " + server + " by pooler " + pooler + " "
+                        + (nowUs - at) + " us after its end was told");
+            }
+        }
+    }
+
+    /** No cold server is pushed over, by all poolers together. */
+    static final class ColdServers extends Rule {
+        ColdServers() {
+            super("no cold server pushed over");
+        }
+
+        @Override public void fell(long nowUs, String server) {
+            convict(nowUs, server + " fell over");
+        }
+    }
+
+    /** No read is answered from data older than its class allows. */
+    static final class Freshness extends Rule {
+        Freshness() {
+            super("no stale read");
+        }
+
+        @Override public void read(long nowUs, String id, long positionUs, long needUs) {
+            if (positionUs < needUs) {
+                convict(nowUs, id + " was served " + (needUs - positionUs) + " us too old");
+            }
+        }
+    }
+
+    private final OneAnswer answers;
+    private final List<Rule> rules = new ArrayList<>();
+
+    public RuleBook(Limits limits, Rules figures) {
+        answers = new OneAnswer(figures.answerSlackUs());
+        rules.addAll(List.of(answers, new Attempts(limits.maxAttempts()), new Repeats(),
+                new Drains(figures.stopSendingUs()), new ColdServers(), new Freshness()));
+    }
+
+    /** The run is over: what is open past its time was never answered. */
+    public void end(long nowUs) {
+        answers.end(nowUs);
+    }
+
+    public List<Rule> rules() {
+        return List.copyOf(rules);
+    }
+
+    /** How often any rule was broken. */
+    public long broken() {
+        return rules.stream().mapToLong(Rule::broken).sum();
+    }
+
+    @Override public void asked(long nowUs, int pooler, String id, RequestClass c, long deadlineUs) {
+        rules.forEach(r -> r.asked(nowUs, pooler, id, c, deadlineUs));
+    }
+
+    @Override public void answered(long nowUs, int pooler, String id, Answer answer) {
+        rules.forEach(r -> r.answered(nowUs, pooler, id, answer));
+    }
+
+    @Override public void sent(long nowUs, int pooler, String id, String server) {
+        rules.forEach(r -> r.sent(nowUs, pooler, id, server));
+    }
+
+    @Override public void ended(long nowUs, int pooler, String id, Outcome outcome, boolean mayHaveRun) {
+        rules.forEach(r -> r.ended(nowUs, pooler, id, outcome, mayHaveRun));
+    }
+
+    @Override public void read(long nowUs, String id, long positionUs, long needUs) {
+        rules.forEach(r -> r.read(nowUs, id, positionUs, needUs));
+    }
+
+    @Override public void told(long nowUs, int pooler, String server, State state) {
+        rules.forEach(r -> r.told(nowUs, pooler, server, state));
+    }
+
+    @Override public void fell(long nowUs, String server) {
+        rules.forEach(r -> r.fell(nowUs, server));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/frostreel/lab/rules/Witness.java
@@ -0,0 +1,32 @@
+package frostreel.lab.rules;
+
+import willowfield.Router.Outcome;
+import willowfield.Router.RequestClass;
+import willowfield.Router.State;
+
+/** What a host tells of a run, in the order in which it happened; times are Unix microseconds. */
+public interface Witness {
+    /** A pooler has taken a request. */
+    default void asked(long nowUs, int pooler, String id, RequestClass c, long deadlineUs) {}
+
+    /** A pooler answered: served, refused or failed. */
+    default void answered(long nowUs, int pooler, String id, Answer answer) {}
+
+    /** A pooler began an attempt. */
+    default void sent(long nowUs, int pooler, String id, String server) {}
+
+    /** An attempt ended for its pooler; {@code mayHaveRun}: nothing proves that it did not. */
+    default void ended(long nowUs, int pooler, String id, Outcome outcome, boolean mayHaveRun) {}
+
+    /** A read was served from data up to {@code positionUs}, and had to see {@code needUs}. */
+    default void read(long nowUs, String id, long positionUs, long needUs) {}
+
+    /** A pooler's list came to name a server so. */
+    default void told(long nowUs, int pooler, String server, State state) {}
+
+    /** A cold server was sent more than it could take. */
+    default void fell(long nowUs, String server) {}
+
+    /** How a request was answered. */
+    enum Answer { SERVED, REFUSED, FAILED }
+}
--- /dev/null
+++ b/lab/src/main/java/frostreel/lab/virtual/VirtualPooler.java
@@ -0,0 +1,218 @@
+package frostreel.lab.virtual;
+
+import frostreel.broker.BackEnd;
+import frostreel.broker.Broker;
+import frostreel.broker.Caller;
+import frostreel.broker.Deadlines;
+import frostreel.broker.Payload;
+import frostreel.broker.SlotTable;
+import frostreel.lab.model.Kernel;
+import frostreel.lab.model.Links;
+import frostreel.lab.model.Server;
+import frostreel.lab.rules.Witness;
+import frostreel.stats.Counters;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.function.BiFunction;
+import willowfield.Router;
+import willowfield.Router.Outcome;
+import willowfield.Router.Role;
+
+/**
+ * The program's own broker and decisions on virtual time; in place of sockets, the model's servers and links.
+ */
+final class VirtualPooler implements BackEnd {
+    /**
+     * What a request costs a server, and what it must see; handed through the broker as its bytes would be.
+     */
+    record Order(String id, double workUs, boolean write, long boundUs, long sinceUs) implements Payload {
+        @Override public byte[] forServer(long patienceUs) {
+            throw new UnsupportedOperationException("the model takes the order itself");
+        }
+
+        /** The position that a server must have for it at a moment, 0 for any. */
+        long needAt(long nowUs) {
+            return boundUs > 0 ? nowUs - boundUs : sinceUs;
+        }
+    }
+
+    private final class Attempt {
+        final Server server;
+        final Order order;
+        final Sink sink;
+        long handle;
+        boolean linked;
+        boolean written;
+        Server.Job job;
+
+        Attempt(Server server, Order order, Sink sink) {
+            this.server = server;
+            this.order = order;
+            this.sink = sink;
+        }
+    }
+
+    private static final double PROBE_WORK_US = 300;
+    final int number;
+    final int zone;
+    final Broker broker;
+    final Counters counters = new Counters();
+    /** Attempts begun to each zone. */
+    final long[] sentTo;
+    private final Kernel kernel;
+    private final Links links;
+    private final Map<String, Server> servers;
+    private final Witness witness;
+    private final long connectTimeoutUs;
+    private final Map<String, Integer> idle = new HashMap<>();
+    private final SlotTable<Attempt> attempts = new SlotTable<>(1 << 19);
+    private long alarms;
+
+    VirtualPooler(int number, int zone, int zones, Kernel kernel, Links links, Map<String, Server> servers,
+            Witness witness, Router.Settings settings,
+            BiFunction<Router.Settings, Router.Actions, Router> maker) {
+        this.number = number;
+        this.zone = zone;
+        this.kernel = kernel;
+        this.links = links;
+        this.servers = servers;
+        this.witness = witness;
+        sentTo = new long[zones];
+        connectTimeoutUs = settings.limits().connectTimeoutUs();
+        Deadlines[] deadlines = new Deadlines[1];
+        deadlines[0] = new Deadlines(kernel::now, us -> {
+            long alarm = ++alarms;
+            kernel.after(us, () -> {
+                if (alarm == alarms) {
+                    deadlines[0].runDue();
+                }
+            });
+        });
+        broker = new Broker(kernel::now, deadlines[0], counters, this, settings, 1 << 16, maker);
+    }
+
+    void submit(Broker.Ask ask, Order order, Caller caller) {
+        broker.submit(ask, order, caller);
+    }
+
+    void told(Router.ListKind kind, List<Router.Member> members) {
+        members.forEach(m -> witness.told(kernel.now(), number, m.id(), m.state()));
+        broker.members(kind, members);
+    }
+
+    @Override public long start(String memberId, Payload payload, long patienceUs, Sink sink) {
+        Attempt a = new Attempt(servers.get(memberId), (Order) payload, sink);
+        a.handle = attempts.add(a);
+        sentTo[a.server.zone]++;
+        witness.sent(kernel.now(), number, a.order.id, memberId);
+        int free = idle.getOrDefault(memberId, 0);
+        if (free > 0) {
+            idle.put(memberId, free - 1);
+            write(a);
+        } else {
+            connect(a, () -> write(a));
+        }
+        return a.handle;
+    }
+
+    private boolean out(Attempt a) {
+        return attempts.get(a.handle) == a;
+    }
+
+    /** A connection comes up after a round trip, is refused after one, or says nothing. */
+    private void connect(Attempt a, Runnable then) {
+        int to = a.server.zone;
+        if (a.server.vanished() || !links.open(zone, to) || !links.open(to, zone)) {
+            kernel.after(connectTimeoutUs, () -> finish(a, Result.of(Outcome.CONNECT_FAILED)));
+            return;
+        }
+        kernel.after(links.delayUs(zone, to) + links.delayUs(to, zone), () -> {
+            if (!a.server.up()) {
+                finish(a, Result.of(Outcome.CONNECT_FAILED));
+            } else if (out(a)) {
+                then.run();
+            }
+        });
+    }
+
+    private void write(Attempt a) {
+        a.linked = true;
+        a.written = true;
+        if (links.open(zone, a.server.zone)) {
+            long needUs = a.order.write ? 0 : a.order.needAt(kernel.now());
+            kernel.after(links.delayUs(zone, a.server.zone), () -> arrive(a, needUs));
+        }
+    }
+
+    /** At the server; one that its pooler gave up meanwhile is not begun. */
+    private void arrive(Attempt a, long needUs) {
+        if (!out(a)) {
+            return;
+        }
+        boolean fallen = a.server.fallen();
+        a.job = new Server.Job(a.order.workUs, a.order.write, needUs, (outcome, role, positionUs, util) -> {
+            if (links.open(a.server.zone, zone)) {
+                kernel.after(links.delayUs(a.server.zone, zone), () -> answer(a, needUs, outcome, role,
+                        positionUs, util));
+            }
+        });
+        a.server.arrive(a.job);
+        if (a.server.fallen() && !fallen) {
+            witness.fell(kernel.now(), a.server.id);
+        }
+    }
+
+    private void answer(Attempt a, long needUs, Outcome outcome, Role role, long positionUs, double util) {
+        if (!out(a)) {
+            return;
+        }
+        if (outcome == Outcome.RESET) {
+            finish(a, Result.of(outcome));
+            return;
+        }
+        idle.merge(a.server.id, 1, Integer::sum);
+        if (outcome == Outcome.OK && !a.order.write) {
+            witness.read(kernel.now(), a.order.id, role == Role.PRIMARY ? kernel.now() : positionUs, needUs);
+        }
+        finish(a, new Result(outcome, role, positionUs, new Router.Report(positionUs, role, util, Double.NaN,
+                Double.NaN), outcome == Outcome.OK ? new byte[0] : null));
+    }
+
+    private void finish(Attempt a, Result result) {
+        if (attempts.remove(a.handle) == a) {
+            if (a.order != null) {
+                witness.ended(kernel.now(), number, a.order.id, result.outcome(),
+                        !result.outcome().provesNotRun && result.outcome() != Outcome.OK);
+            }
+            a.sink.ended(result);
+        }
+    }
+
+    @Override public boolean abandon(long attempt) {
+        Attempt a = attempts.remove(attempt);
+        if (a == null) {
+            return false;
+        }
+        witness.ended(kernel.now(), number, a.order.id, a.written ? Outcome.TIMEOUT : Outcome.MOOT,
+                a.written);
+        if (a.job != null && links.open(zone, a.server.zone)) {
+            kernel.after(links.delayUs(zone, a.server.zone), () -> a.server.cancel(a.job));
+        }
+        return a.written;
+    }
+
+    @Override public void probe(String memberId, Sink sink) {
+        Attempt a = new Attempt(servers.get(memberId), null, sink);
+        a.handle = attempts.add(a);
+        kernel.after(connectTimeoutUs, () -> finish(a, Result.of(Outcome.TIMEOUT)));
+        connect(a, () -> {
+            Server s = a.server;
+            Result report = new Result(Outcome.OK, s.role(), s.applied(), new Router.Report(s.applied(),
+                    s.role(),
+                    s.util(), Double.NaN, Double.NaN), null);
+            s.arrive(new Server.Job(PROBE_WORK_US, false, 0, (outcome, role, positionUs, util) -> { }));
+            finish(a, report);
+        });
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/frostreel/lab/virtual/World.java
@@ -0,0 +1,296 @@
+package frostreel.lab.virtual;
+
+import frostreel.broker.Broker;
+import frostreel.broker.Caller;
+import frostreel.lab.model.Kernel;
+import frostreel.lab.model.Links;
+import frostreel.lab.model.Physics;
+import frostreel.lab.model.Server;
+import frostreel.lab.rules.RuleBook;
+import frostreel.lab.rules.Witness.Answer;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.function.BiFunction;
+import willowfield.Router;
+
+/** Poolers, servers, links, clients and a list that comes late, on virtual time: one seed, one run. */
+public final class World {
+    /** Any time will do; this one can be told from a span of time. */
+    private static final long START_US = 1_700_000_000_000_000L;
+    private static final long WITHIN_US = 250;
+    private static final long BETWEEN_US = 1_500;
+    private static final int SESSIONS = 500;
+    /** An election: so long until a primary is given up, and until a replica takes over. */
+    private static final long LEAST_ELECTION_US = 2_800_000;
+    private static final long MOST_ELECTION_US = 6_500_000;
+    /** What is asked near the end is still answered. */
+    private static final long AFTERMATH_US = 10_000_000;
+
+    private final Plan plan;
+    private final Kernel kernel = new Kernel(START_US);
+    private final Links links;
+    private final Map<String, Server> servers = new LinkedHashMap<>();
+    private final List<VirtualPooler> poolers = new ArrayList<>();
+    private final Tally tally;
+    private final RuleBook rules;
+    private final SplittableRandom chance;
+    private final SplittableRandom[] clients;
+    private final long[][] lastWriteUs;
+    private long ids;
+
+    public World(Plan plan, BiFunction<Router.Settings, Router.Actions, Router> maker) {
+        this.plan = plan;
+        SplittableRandom seeds = new SplittableRandom(plan.seed());
+        chance = seeds.split();
+        links = new Links(plan.zones(), WITHIN_US, BETWEEN_US);
+        tally = new Tally((int) (plan.durationUs() / 1_000_000), plan.zones(), Plan.KINDS.size());
+        Router.Settings told = plan.settings(0, 0);
+        rules = new RuleBook(told.limits(), told.rules());
+        for (int g = 0; g < plan.groups(); g++) {
+            for (int z = 0; z < plan.zones(); z++) {
+                String id = String.format("g%03d-%08x", g, chance.nextInt());
+                Server s = new Server(kernel, Physics.USUAL, id, z, g, plan.cores(), 1);
+                s.promote(z == g % plan.zones());
+                servers.put(id, s);
+            }
+        }
+        int count = plan.zones() * plan.poolersPerZone();
+        clients = new SplittableRandom[count];
+        lastWriteUs = new long[count][SESSIONS];
+        for (int i = 0; i < count; i++) {
+            int zone = i % plan.zones();
+            clients[i] = seeds.split();
+            VirtualPooler p = new VirtualPooler(i, zone, plan.zones(), kernel, links, servers, rules,
+                    plan.settings(zone, seeds.nextLong()), maker);
+            poolers.add(p);
+            p.told(Router.ListKind.FULL, servers.values().stream().map(World::entry).toList());
+            nextArrival(p);
+        }
+    }
+
+    private static Router.Member entry(Server s) {
+        return new Router.Member(s.id, s.zone, 0, s.group, s.primary(),
+                s.up() ? Router.State.UP : Router.State.GONE, 1, s.bornUs());
+    }
+
+    // ---- Faults; each at a time from the start. ----
+
+    /** Has something happen. */
+    public void at(long us, Runnable what) {
+        kernel.after(START_US + us - kernel.now(), what);
+    }
+
+    /** All servers of a zone vanish: they say nothing, and the list says so late. */
+    public void loseZone(int zone) {
+        servers.values().stream().filter(s -> s.zone == zone && s.up()).forEach(s -> {
+            boolean led = s.primary();
+            s.vanish();
+            if (led) {
+                elect(s.group);
+            }
+            tellLate(s, entry(s));
+        });
+    }
+
+    /** The zone's servers come back, all of them cold. */
+    public void returnZone(int zone) {
+        servers.values().stream().filter(s -> s.zone == zone).forEach(s -> {
+            s.start();
+            if (s.up()) {
+                tellLate(s, entry(s));
+            }
+        });
+        feedAll();
+    }
+
+    /** Servers keep running, and what one zone sends another is lost on the way. */
+    public void cut(int from, int to, boolean isCut) {
+        links.cut(from, to, isCut);
+        feedAll();
+    }
+
+    /** Every server of a zone takes so many times as long. */
+    public void slowZone(int zone, double times) {
+        servers.values().stream().filter(s -> s.zone == zone).forEach(s -> s.slowDown(times));
+    }
+
+    /** Replicas of a zone apply so many seconds of the log in a second. */
+    public void replayZone(int zone, double rate) {
+        servers.values().stream().filter(s -> s.zone == zone).forEach(s -> s.replayAt(rate));
+    }
+
+    private void tellLate(Server s, Router.Member entry) {
+        for (VirtualPooler p : poolers) {
+            kernel.after(plan.listLagUs() + chance.nextLong(50_000),
+                    () -> p.told(Router.ListKind.CHANGES, List.of(entry)));
+        }
+    }
+
+    private List<Server> group(int group) {
+        return servers.values().stream().filter(s -> s.group == group).toList();
+    }
+
+    private void feedAll() {
+        for (int g = 0; g < plan.groups(); g++) {
+            feed(g);
+        }
+    }
+
+    /** Who has the log of a group's primary: all that it reaches. */
+    private void feed(int group) {
+        List<Server> members = group(group);
+        Server primary = members.stream().filter(Server::primary).findFirst().orElse(null);
+        members.forEach(s -> s.feed(primary != null && s.up() && links.open(primary.zone, s.zone)));
+    }
+
+    private void elect(int group) {
+        feed(group);
+        kernel.after(chance.nextLong(LEAST_ELECTION_US, MOST_ELECTION_US), () -> {
+            Server best = null;
+            for (Server s : group(group)) {
+                if (s.primary()) {
+                    return;
+                }
+                best = s.up() && (best == null || s.applied() > best.applied()) ? s : best;
+            }
+            if (best == null) {
+                elect(group);
+                return;
+            }
+            best.promote(true);
+            feed(group);
+            tellLate(best, entry(best));
+        });
+    }
+
+    // ---- Clients. ----
+
+    private void nextArrival(VirtualPooler p) {
+        SplittableRandom r = clients[p.number];
+        double gapUs = -Math.log(1 - r.nextDouble()) * 1e6 / plan.perPooler();
+        kernel.after((long) gapUs, () -> {
+            if (kernel.now() - START_US < plan.durationUs()) {
+                ask(p, r);
+                nextArrival(p);
+            }
+        });
+    }
+
+    private void ask(VirtualPooler p, SplittableRandom r) {
+        double draw = r.nextDouble();
+        int cls = 0;
+        while (cls < Plan.KINDS.size() - 1 && draw >= Plan.KINDS.get(cls).share()) {
+            draw -= Plan.KINDS.get(cls++).share();
+        }
+        Plan.Kind kind = Plan.KINDS.get(cls);
+        double work = kind.leastUs() + r.nextDouble() * (kind.mostUs() - kind.leastUs());
+        int session = r.nextInt(SESSIONS);
+        double patience = 0.4 + 0.6 * r.nextDouble();
+        tally.requests++;
+        tally.asked(second(), p.zone, cls, kind.c().worth());
+        submit(new Try(p, cls, session % plan.groups(), session, work, patience, kernel.now(), second(),
+                r.nextBoolean() && plan.clientRetries()), false);
+    }
+
+    private int second() {
+        return (int) ((kernel.now() - START_US) / 1_000_000);
+    }
+
+    /** A client's request, with what its retry needs. */
+    private record Try(VirtualPooler pooler, int cls, int group, int session, double workUs, double patience,
+            long askedUs, int second, boolean mayRetry) {}
+
+    private void submit(Try t, boolean again) {
+        Plan.Kind kind = Plan.KINDS.get(t.cls);
+        Router.RequestClass c = kind.c();
+        String id = Long.toString(++ids, 36);
+        long now = kernel.now();
+        long deadlineUs = now + (long) (c.deadlineUs() * t.patience);
+        long wroteUs = lastWriteUs[t.pooler.number][t.session];
+        boolean reads = c.access() == Router.Access.SESSION;
+        rules.asked(now, t.pooler.number, id, c, deadlineUs);
+        t.pooler.submit(new Broker.Ask(id, t.cls, t.session, t.group, deadlineUs,
+                reads && wroteUs > 0 ? now - wroteUs : 0, again),
+                new VirtualPooler.Order(id, t.workUs, c.access() == Router.Access.WRITE, c.boundUs(),
+                        reads ? wroteUs : 0),
+                new Caller() {
+                    @Override public void served(byte[] answer) {
+                        tally.served++;
+                        rules.answered(kernel.now(), t.pooler.number, id, Answer.SERVED);
+                        long took = kernel.now() - t.askedUs;
+                        tally.got(t.second, t.pooler.zone, t.cls,
+                                c.worth() * (took <= c.aimUs() ? 1 : c.lateWorth()));
+                        if (c.access() == Router.Access.WRITE) {
+                            lastWriteUs[t.pooler.number][t.session] = kernel.now();
+                        }
+                    }
+
+                    @Override public void refused(long adviceUs) {
+                        tally.refused++;
+                        rules.answered(kernel.now(), t.pooler.number, id, Answer.REFUSED);
+                        if (t.mayRetry && !again) {
+                            tally.retries++;
+                            kernel.after(Math.max(adviceUs, 50_000), () -> submit(t, true));
+                        }
+                    }
+
+                    @Override public void failed() {
+                        tally.failed++;
+                        rules.answered(kernel.now(), t.pooler.number, id, Answer.FAILED);
+                    }
+                });
+    }
+
+    // ---- The run, and what it showed. ----
+
+    /** Plays to the end, and a little longer for what is still open. */
+    public World run() {
+        kernel.runUntil(START_US + plan.durationUs() + AFTERMATH_US);
+        rules.end(kernel.now());
+        return this;
+    }
+
+    public Tally tally() {
+        return tally;
+    }
+
+    public RuleBook rules() {
+        return rules;
+    }
+
+    /** How many servers were knocked over while cold. */
+    public long fallen() {
+        return servers.values().stream().filter(Server::fallen).count();
+    }
+
+    /** The largest multiple of its present capacity that any cold server was sent. */
+    public double largestMultiple() {
+        return servers.values().stream().mapToDouble(Server::largestMultiple).max().orElse(0);
+    }
+
+    /** Attempts begun by poolers of one zone to servers of another, since the start. */
+    public long sent(int from, int to) {
+        return poolers.stream().filter(p -> p.zone == from).mapToLong(p -> p.sentTo[to]).sum();
+    }
+
+    /** Attempts of all poolers since the start. */
+    public long attempts() {
+        return poolers.stream().mapToLong(p -> p.counters.attempts).sum();
+    }
+
+    /** Faults that the program caught: none may be. */
+    public long strayExceptions() {
+        return poolers.stream().mapToLong(p -> p.counters.strayExceptions).sum();
+    }
+
+    /** Equal for equal runs, to the byte. */
+    public String record() {
+        StringBuilder out = new StringBuilder(tally.toString());
+        poolers.forEach(p -> out.append('\n').append(p.counters));
+        rules.rules().forEach(r -> out.append('\n').append(r.name()).append(": ").append(r.broken()));
+        return out.toString();
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/frostreel/lab/model/ServerTest.java
@@ -0,0 +1,92 @@
+package frostreel.lab.model;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import willowfield.Router.Outcome;
+
+class ServerTest {
+    private static final long START_US = 1_000_000_000;
+    private final Kernel kernel = new Kernel(START_US);
+    private final Server server = new Server(kernel, Physics.USUAL, "s", 0, 0, 2, 1);
+    private final List<String> ended = new ArrayList<>();
+
+    private Server.Job job(String name, double workUs, boolean write, long needUs) {
+        return new Server.Job(workUs, write, needUs, (outcome, role, positionUs, util) ->
+                ended.add(name + " " + outcome + " " + (kernel.now() - START_US)));
+    }
+
+    private Server.Job send(String name, double workUs) {
+        Server.Job job = job(name, workUs, false, 0);
+        server.arrive(job);
+        return job;
+    }
+
+    @Test void coresWorkSideBySideTheRestWaitsAndBeyondTheQueueItIsTurnedAway() {
+        for (int i = 0; i < 2 + Physics.USUAL.queue() + 1; i++) {
+            send("j" + i, 1000);
+        }
+        assertThat(ended).containsExactly("j66 FULL 0");
+        kernel.runUntil(START_US + 2000);
+        assertThat(ended.subList(1, 5)).containsExactly("j0 OK 1000", "j1 OK 1000", "j2 OK 2000",
+                "j3 OK 2000");
+    }
+
+    @Test void aCancelledRequestFreesItsCoreAndIsNotAnswered() {
+        Server.Job first = send("a", 10_000);
+        send("b", 10_000);
+        Server.Job waiting = send("c", 10_000);
+        send("d", 1000);
+        server.cancel(waiting);
+        server.cancel(first);
+        kernel.runUntil(START_US + 20_000);
+        assertThat(ended).containsExactly("d OK 1000", "b OK 10000");
+    }
+
+    @Test void aWriteMissesAReplicaAndAReadMissesWhatIsTooFarBehind() {
+        server.arrive(job("w", 1000, true, 0));
+        server.arrive(job("r", 1000, false, kernel.now()));
+        server.replayAt(0.5);
+        kernel.runUntil(START_US + 1_000_000);
+        server.arrive(job("behind", 1000, false, START_US + 600_000));
+        server.arrive(job("near", 1000, false, START_US + 400_000));
+        assertThat(ended).containsExactly("w MISS 0", "r MISS 0", "behind MISS 1000000");
+        server.feed(false);
+        long stood = server.applied();
+        kernel.runUntil(START_US + 2_000_000);
+        assertThat(server.applied()).isEqualTo(stood);
+        server.promote(true);
+        assertThat(server.applied()).isEqualTo(kernel.now());
+    }
+
+    @Test void aColdServerIsSlowThenWarmAndFallsWhenPushed() {
+        server.crash();
+        server.start();
+        assertThat(server.capacity()).isEqualTo(2 * Physics.USUAL.coldFrom());
+        send("slow", 22_000);
+        kernel.runUntil(START_US + 100_000);
+        assertThat(ended).containsExactly("slow OK 100000");
+        double most = Physics.USUAL.fallMultiple() * server.capacity() * Physics.USUAL.fallUs();
+        send("most", most - 23_000);
+        assertThat(server.fallen()).isFalse();
+        assertThat(server.largestMultiple()).isBetween(2.9, 3.0);
+        send("straw", 2000);
+        assertThat(server.fallen()).isTrue();
+        assertThat(ended).contains("straw RESET 100000", "most RESET 100000");
+        server.start();
+        assertThat(server.up()).isFalse();
+    }
+
+    @Test void aServerThatVanishesSaysNothing() {
+        send("a", 1000);
+        server.vanish();
+        send("b", 1000);
+        kernel.runUntil(START_US + 10_000);
+        assertThat(ended).isEmpty();
+        server.start();
+        kernel.runUntil(START_US + 16_000_000);
+        assertThat(server.capacity()).isEqualTo(2);
+    }
+}
--- a/pooler/src/main/java/frostreel/net/Loop.java
+++ b/pooler/src/main/java/frostreel/net/Loop.java
@@ -18,7 +18,7 @@
     private static final int READ_BYTES = 1 << 16;
     private final XnioWorker worker;
     private final XnioIoThread thread;
-    private final Clock clock = new Clock();
+    private final Clock clock = Clock.system();
     private final Deadlines deadlines = new Deadlines(clock, this::wakeAfter);
     private final Counters counters = new Counters();
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
--- a/pooler/src/test/java/frostreel/PartsTest.java
+++ b/pooler/src/test/java/frostreel/PartsTest.java
@@ -33,7 +33,7 @@
     @Test void deadlinesRunInOrderAndOneFaultSparesTheRest() {
         List<Long> wakes = new ArrayList<>();
         List<String> ran = new ArrayList<>();
-        Deadlines deadlines = new Deadlines(new Clock(), wakes::add);
+        Deadlines deadlines = new Deadlines(Clock.system(), wakes::add);
         deadlines.at(30, () -> ran.add("third"));
         deadlines.at(10, () -> {
             ran.add("first");
