Bound what spills from a lost zone, and ramp up a zone that returns cold

Need: when a zone was lost, all that its servers had carried went to the others at once, and their own clients paid.

Change: Router.Adviser, a say in where reads go; frostreel.zones.ZoneAdviser gives it: tiers, areas lost by what this pooler saw, a budget for spilling in share of what home served, worth for work first, refusal at once beyond it, a ramp over the warming time, damping of flaps.

--- /dev/null
+++ b/decisions/src/main/java/frostreel/zones/ZoneAdviser.java
@@ -0,0 +1,267 @@
+package frostreel.zones;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.EnumMap;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import willowfield.Router;
+
+/**
+ * Tiers of preference among zones, with a bound on what spills to the next and a ramp for what comes back.
+ *
+ * <p>An area, the members of a group in a zone, is lost after failures without a sign of life, sooner where
+ * much of its zone is; nothing goes there, and it is probed. What a pooler's nearest tier no longer serves
+ * may
+ * go to farther ones as far as their budgets reach, what is worth most for its work first; the rest is
+ * refused. An area that answers again is taken in over the time in which a cold server warms, starting at a
+ * moment that differs from pooler to pooler, each with its part of what the area served before. An area lost
+ * again and again must answer for a while first. Writes are none of its matters.
+ */
+public final class ZoneAdviser implements Router.Adviser {
+    /** Each farther tier is so many times dearer. */
+    private static final double FARTHER = 2;
+    /** A tier's budget holds what it gains in this time. */
+    private static final double SAVED_US = 500_000;
+    /** The worst class may spill only while a budget is at least so full. */
+    private static final double RESERVE = 0.7;
+    private static final double SPAN_US = 10e6;
+    private static final double MEAN = 0.05;
+    /** Classes are put in order again after so many reads. */
+    private static final int ORDER_EVERY = 500;
+
+    private final Router.Settings set;
+    private ZoneSettings zones;
+    private final double phase;
+    private final Map<Long, Area> areas = new HashMap<>();
+    private final Map<Integer, Integer> nearest = new HashMap<>();
+    private final Map<Integer, Integer> areasOfZone = new HashMap<>();
+    private final Map<Integer, Integer> lostOfZone = new HashMap<>();
+    private final List<Area> bySeat = new ArrayList<>();
+    private final List<Bucket> ramps = new ArrayList<>();
+    private final ArrayDeque<Integer> free = new ArrayDeque<>();
+    private Bucket[] spills;
+    private double[] prices;
+    /** For the overview: reads sent and turned down by tier, and what became of areas. */
+    private long[] sent;
+    private long[] denied;
+    private long losses;
+    private long returns;
+    private final Rate home = new Rate(SPAN_US);
+    /** What the lost and returning areas of nearest tiers served. */
+    private double missing;
+    private boolean everServed;
+    private final double[] work;
+    private final double[] reserve;
+    private int untilOrder = ORDER_EVERY;
+    private double anyWork;
+
+    /** {@code phase}: at least 0 and under 1, drawn anew for each pooler. */
+    public ZoneAdviser(Router.Settings settings, ZoneSettings zones, double phase) {
+        set = settings;
+        this.phase = phase;
+        configure(zones);
+        work = new double[settings.classes().size()];
+        reserve = new double[work.length];
+        for (int c = 0; c < work.length; c++) {
+            work[c] = settings.classes().get(c).aimUs() / 5.0;
+        }
+        anyWork = Arrays.stream(work).min().orElse(1);
+        order();
+    }
+
+    /** Goes over to other tiers; what is known of areas stays, and the budgets begin empty. */
+    public void configure(ZoneSettings settings) {
+        zones = settings;
+        spills = new Bucket[zones.tiers().size() + 1];
+        prices = new double[spills.length];
+        sent = new long[spills.length];
+        denied = new long[spills.length];
+        for (int t = 0; t < spills.length; t++) {
+            spills[t] = new Bucket();
+            prices[t] = Math.pow(FARTHER, t);
+        }
+        nearest.clear();
+        for (Area a : areas.values()) {
+            a.tier = zones.tierOf(a.zone);
+            nearest.merge(a.group, a.tier, Math::min);
+        }
+        missing = 0;
+        for (Area a : areas.values()) {
+            missing += isNearest(a) && a.health != Area.Health.UP ? a.usual(0) : 0;
+        }
+    }
+
+    // ---- Seats. ----
+
+    @Override public int seat(int group, int zone) {
+        Area area = areas.computeIfAbsent((long) group << 32 | zone, k -> {
+            areasOfZone.merge(zone, 1, Integer::sum);
+            return new Area(group, zone, zones.tierOf(zone));
+        });
+        area.seats++;
+        // It never grows: members that are gone from the list are missed all the same.
+        nearest.merge(group, area.tier, Math::min);
+        Integer seat = free.poll();
+        if (seat == null) {
+            seat = bySeat.size();
+            bySeat.add(area);
+            ramps.add(new Bucket());
+        } else {
+            bySeat.set(seat, area);
+            ramps.set(seat, new Bucket());
+        }
+        return seat;
+    }
+
+    @Override public void left(int seat) {
+        bySeat.get(seat).seats--;
+        free.add(seat);
+    }
+
+    private boolean isNearest(Area a) {
+        return a.tier <= nearest.get(a.group);
+    }
+
+    // ---- Events. ----
+
+    @Override public void ended(long nowUs, int seat, Router.Outcome outcome, double workUs) {
+        Area a = bySeat.get(seat);
+        switch (outcome) {
+            case OK -> {
+                a.alive(nowUs);
+                a.served(nowUs, workUs);
+                if (isNearest(a) && a.health == Area.Health.UP) {
+                    home.add(nowUs, workUs);
+                    everServed = true;
+                }
+            }
+            case MISS, FULL, ERROR -> a.alive(nowUs);
+            case TIMEOUT, RESET, CONNECT_FAILED -> failed(nowUs, a);
+            default -> { }
+        }
+    }
+
+    @Override public void probed(long nowUs, int seat, boolean ok) {
+        Area a = bySeat.get(seat);
+        if (!ok) {
+            failed(nowUs, a);
+        } else if (a.answers(nowUs)) {
+            returns++;
+            lostOfZone.merge(a.zone, -1, Integer::sum);
+            for (int s = 0; s < bySeat.size(); s++) {
+                if (bySeat.get(s) == a) {
+                    // Poolers that see the return in the same moment must not send in the same moment.
+                    ramps.get(s).reset(nowUs, -phase * anyWork);
+                }
+            }
+        }
+    }
+
+    private void failed(long nowUs, Area a) {
+        int lost = lostOfZone.getOrDefault(a.zone, 0);
+        if (a.failed(nowUs, lost >= 2 && 2 * lost >= areasOfZone.get(a.zone))) {
+            boolean fresh = isNearest(a) && a.health == Area.Health.UP;
+            if (a.open()) {
+                lostOfZone.merge(a.zone, 1, Integer::sum);
+            }
+            losses++;
+            a.lose(nowUs);
+            if (fresh) {
+                home.shift(nowUs, -a.usual(nowUs));
+                missing += a.usual(nowUs);
+            }
+        }
+    }
+
+    @Override public void sent(long nowUs, int seat, int cls, double workUs) {
+        Area a = bySeat.get(seat);
+        sent[a.tier]++;
+        work[cls] += MEAN * (workUs - work[cls]);
+        anyWork += MEAN * (workUs - anyWork);
+        if (--untilOrder <= 0) {
+            untilOrder = ORDER_EVERY;
+            order();
+        }
+        if (a.health == Area.Health.RETURNING) {
+            ramps.get(seat).take(workUs);
+        }
+        if (!isNearest(a)) {
+            spills[a.tier].take(workUs);
+        }
+    }
+
+    /** What is worth least for its work stands at the top of the reserves. */
+    private void order() {
+        for (int c = 0; c < work.length; c++) {
+            int better = 0;
+            for (int o = 0; o < work.length; o++) {
+                better += density(o) > density(c) ? 1 : 0;
+            }
+            reserve[c] = RESERVE * better / Math.max(1, work.length - 1);
+        }
+    }
+
+    private double density(int cls) {
+        return set.classes().get(cls).worth() / work[cls];
+    }
+
+    // ---- Answers. ----
+
+    @Override public double price(long nowUs, int seat) {
+        Area a = bySeat.get(seat);
+        return a.open() ? prices[a.tier] : Double.POSITIVE_INFINITY;
+    }
+
+    @Override public boolean permits(long nowUs, int seat, int cls) {
+        Area a = bySeat.get(seat);
+        if (!a.open() || a.health == Area.Health.RETURNING && !admits(nowUs, seat, a)) {
+            return false;
+        }
+        if (isNearest(a) || !everServed) {
+            return true;
+        }
+        double perUs = zones.tiers().get(a.tier - 1).spill() * (home.at(nowUs) + missing);
+        double capUs = Math.max(perUs * SAVED_US, anyWork);
+        boolean fits = spills[a.tier].level(nowUs, perUs, capUs) > reserve[cls] * capUs;
+        denied[a.tier] += fits ? 0 : 1;
+        return fits;
+    }
+
+    /** Whether a returning area may be sent one more, at its present share of what it served before. */
+    private boolean admits(long nowUs, int seat, Area a) {
+        double present = a.present(nowUs, set.rules().coldFrom(), set.rules().warmAfterUs());
+        if (present >= 1) {
+            if (isNearest(a)) {
+                missing = Math.max(0, missing - a.usual(nowUs));
+                home.shift(nowUs, a.usual(nowUs));
+            }
+            a.health = Area.Health.UP;
+            return true;
+        }
+        // One that served this pooler nothing may still be sent a little: a core's work, shared by all
+        // poolers.
+        double perUs = present * Math.max(a.usual(nowUs) / a.seats, 1.0 / zones.poolers());
+        return ramps.get(seat).level(nowUs, perUs, Math.max(perUs * set.rules().fallUs() / 2, anyWork)) > 0;
+    }
+
+    @Override public boolean wantsProbe(long nowUs, int seat) {
+        return bySeat.get(seat).probeDue(nowUs);
+    }
+
+    /** The overview: areas by zone and health, reads sent and turned down by tier, losses and returns. */
+    @Override public String toString() {
+        Map<Integer, Map<Area.Health, Integer>> healths = new TreeMap<>();
+        for (Area a : areas.values()) {
+            if (a.seats > 0) {
+                healths.computeIfAbsent(a.zone, z -> new EnumMap<>(Area.Health.class))
+                        .merge(a.health, 1, Integer::sum);
+            }
+        }
+        return "areas=" + healths + " sent_by_tier=" + Arrays.toString(sent) + " denied_by_tier="
+                + Arrays.toString(denied) + " losses=" + losses + " returns=" + returns;
+    }
+}
--- a/decisions/src/main/java/willowfield/Brain.java
+++ b/decisions/src/main/java/willowfield/Brain.java
@@ -37,7 +37,6 @@
     private static final double FEW = 1; // Requests of a group that weigh as much as all groups.
     private static final double MEAN = 0.15; // Weight of one more sample in a running mean.
     private static final double FAIL_COST = 12; // Times dearer when all attempts fail.
-    private static final double NEAR = 2; // Times dearer than a farther one before it gives way.
     private static final double EQUAL = 1.25; // Members this close in cost are equals, and rotate.
     private static final double NEW_LINK = 1.5; // Times dearer when a connection must be opened.
     private static final int LINK_EVERY = 10; // Requests of a group for each further connection.
@@ -66,7 +65,7 @@
     private final class Node {
         final String id;
         final Group group;
-        int zone;
+        int zone, seat; // The adviser's name for it.
         State state = State.UP;
         boolean drained;
         /** Listed from the start, or heard from: else it may be none of ours, whatever the list says. */
@@ -136,6 +135,7 @@
 
     private final Settings set;
     private final Actions act;
+    private final Adviser advice;
     private final long sweepUs, keepUs;
     private final double[] expect;
     private final Map<String, Node> nodes = new HashMap<>();
@@ -157,8 +157,13 @@
     private final Flow asked = new Flow(), useful = new Flow();
 
     public Brain(Settings settings, Actions actions) {
+        this(settings, actions, new NearFirst(settings.zone()));
+    }
+
+    public Brain(Settings settings, Actions actions, Adviser adviser) {
         set = settings;
         act = actions;
+        advice = adviser;
         sweepUs = Math.max(settings.tickUs(), WALK_US / 50);
         expect = new double[settings.classes().size()];
         long longest = 0;
@@ -194,7 +199,7 @@
         }
         fleet = 0;
         for (Group g : groups.values()) {
-            g.chain.removeIf(n -> forgotten(now, n) && nodes.remove(n.id, n));
+            g.chain.removeIf(n -> forgotten(now, n) && forget(n));
             if (g.head != null && !usable(g.head)) {
                 loseHead(g);
             }
@@ -210,6 +215,7 @@
             Group g = groups.computeIfAbsent(m.group(), Group::new);
             n = new Node(m.id(), g);
             n.known = atStart;
+            n.seat = advice.seat(m.group(), m.zone());
             n.progressAt = n.markedAt = n.budgetAt = now;
             nodes.put(m.id(), n);
             int at = 0;
@@ -244,6 +250,11 @@
         return n.goneAt > 0 && n.out == 0 && !kept;
     }
 
+    private boolean forget(Node n) {
+        advice.left(n.seat);
+        return nodes.remove(n.id, n);
+    }
+
     private boolean usable(Node n) {
         return n.state == State.UP || n.state == State.GONE && set.rules().onlyDrainingBinds() && !n.drained;
     }
@@ -346,6 +357,7 @@
         n.probing = false;
         n.group.probedAt = 0;
         n.known |= ok;
+        advice.probed(now, n.seat, ok);
         if (ok && report != null) {
             learnReport(now, n, report);
         }
@@ -560,17 +572,30 @@
         Node unproven = null;
         double bestCost = Double.MAX_VALUE;
         double askCost = Double.MAX_VALUE;
+        boolean waits = false, denied = false;
         int size = g.chain.size();
         for (int i = 0; i < size; i++) {
             Node n = g.chain.get((turnSeed + g.turn + i) % size);
             if (n == g.head || !usable(n) || c.missed.contains(n) || stranger(now, n)) {
                 continue;
             }
+            double price = advice.price(now, n.seat);
+            if (price == Double.POSITIVE_INFINITY) {
+                if (!n.probing && advice.wantsProbe(now, n.seat)) {
+                    probe(now, n);
+                }
+                continue;
+            }
             boolean proven = n.position >= need || likely(now, n, need);
             if (proven ? !room(now, n, 1) || !admits(now, n) : n.probing || !provable(now, n, need)) {
+                waits = true;
                 continue;
             }
-            double cost = cost(now, n) * (n.zone == set.zone() ? 1 : NEAR) / leisure(c, n)
+            if (proven && !advice.permits(now, n.seat, c.q.cls())) {
+                denied = true;
+                continue;
+            }
+            double cost = cost(now, n) * price / leisure(c, n)
                     * (linked(now, n) || g.sinceLink >= LINK_EVERY ? 1 : NEW_LINK);
             if (proven && cost * EQUAL < bestCost) {
                 bestCost = cost;
@@ -593,7 +618,13 @@
             return;
         }
         if (g.head != null && !g.doubted && !c.missed.contains(g.head) && room(now, g.head, SPARED)
-                && send(now, c, g.head, readTimeout(now, c, g.head))) {
+                && advice.price(now, g.head.seat) < Double.POSITIVE_INFINITY
+                && advice.permits(now, g.head.seat, c.q.cls()) && send(now, c, g.head, readTimeout(now, c,
+                        g.head))) {
+            return;
+        }
+        if (denied && !waits && unproven == null) { // More than may be sent elsewhere, and no use in waiting.
+            giveUp(now, c);
             return;
         }
         if (next(c) == null) {
@@ -710,6 +741,7 @@
         c.crowded = outcome == Outcome.OK || outcome == Outcome.FULL || outcome == Outcome.TIMEOUT;
         n.out--;
         n.linkedAt = now;
+        advice.ended(now, n.seat, outcome, expect[c.q.cls()]);
         learnOutcome(now, c, n, outcome, tookUs, role, positionUs, report);
         if (!outcome.provesNotRun && !c.mayHaveRun) {
             c.mayHaveRun = true;
@@ -907,6 +939,9 @@
         n.out++;
         n.slowest = Math.max(n.slowest, Math.max(effort, expected(c, n, now)));
         n.budget -= effort / 1e6;
+        if (!c.toHead) {
+            advice.sent(now, n.seat, c.q.cls(), effort);
+        }
         c.on = n;
         c.sentAt = now;
         c.attempts++;
--- a/decisions/src/main/java/willowfield/Router.java
+++ b/decisions/src/main/java/willowfield/Router.java
@@ -76,6 +76,37 @@
     /** A member's word on itself, somewhat old; a value it does not hold is NaN, its position 0. */
     record Report(long positionUs, Role role, double util, double queued, double inHand) {}
 
+    /**
+     * A say in which members reads go to, beside the decisions' own. It is told what the decisions are told,
+     * answers at once, and never acts. Members are named by the seats that it gave them.
+     */
+    interface Adviser {
+        /** A member newly met takes a seat, for good or until {@link #left}. */
+        int seat(int group, int zone);
+
+        /** A member was forgotten; its seat may be given again. */
+        void left(int seat);
+
+        /** An attempt ended; {@code workUs}: what its class usually takes. */
+        void ended(long nowUs, int seat, Outcome outcome, double workUs);
+
+        void probed(long nowUs, int seat, boolean ok);
+
+        /** A read of that class was sent. */
+        void sent(long nowUs, int seat, int cls, double workUs);
+
+        /** How much dearer it is than the nearest; infinite where nothing may go there now. */
+        double price(long nowUs, int seat);
+
+        /** Whether one more read of that class may go there now. */
+        boolean permits(long nowUs, int seat, int cls);
+
+        /**
+         * Whether a probe of it is due, though nothing may go there; asked when one could be made at once.
+         */
+        boolean wantsProbe(long nowUs, int seat);
+    }
+
     void onRequest(long nowUs, Request request);
 
     /** {@code closed}: the request is finished. Role and position are UNKNOWN and 0 where not told. */
--- a/lab/src/main/java/frostreel/lab/model/Server.java
+++ b/lab/src/main/java/frostreel/lab/model/Server.java
@@ -33,6 +33,8 @@
         void ended(Outcome outcome, Role role, long positionUs, double util);
     }
 
+    private static final double UTIL_SPAN_US = 100_000;
+
     private record Sent(long atUs, double work) {}
 
     private final Kernel kernel;
@@ -45,6 +47,8 @@
     private final ArrayDeque<Job> queue = new ArrayDeque<>();
     private final ArrayDeque<Job> inWork = new ArrayDeque<>();
     private int running;
+    private double util;
+    private long utilAtUs;
     private boolean up = true;
     private boolean fallen;
     private boolean vanished;
@@ -164,7 +168,7 @@
         queue.forEach(job -> job.over = true);
         inWork.clear();
         queue.clear();
-        running = 0;
+        occupy(-running);
     }
 
     /** Whether it says nothing, not even that it is gone. */
@@ -229,7 +233,7 @@
     }
 
     private void begin(Job job) {
-        running++;
+        occupy(1);
         job.running = true;
         inWork.add(job);
         long took = (long) (job.work / (speed * warmth() / slowdown));
@@ -239,7 +243,7 @@
     private void finish(Job job) {
         if (!job.over) {
             inWork.remove(job);
-            running--;
+            occupy(-1);
             end(job, job.write && !primary ? Outcome.ERROR : Outcome.OK);
             next();
         }
@@ -260,7 +264,7 @@
             job.over = true;
             if (job.running) {
                 inWork.remove(job);
-                running--;
+                occupy(-1);
                 next();
             } else {
                 queue.remove(job);
@@ -277,8 +281,16 @@
         return primary ? Role.PRIMARY : Role.REPLICA;
     }
 
-    /** Share of its cores in use. */
+    private void occupy(int more) {
+        util();
+        running += more;
+    }
+
+    /** Share of its cores in use, over about the last tenth of a second. */
     public double util() {
-        return (double) running / cores;
+        double fade = Math.exp((utilAtUs - kernel.now()) / UTIL_SPAN_US);
+        util = util * fade + (1 - fade) * running / cores;
+        utilAtUs = kernel.now();
+        return util;
     }
 }
--- /dev/null
+++ b/lab/src/main/java/frostreel/lab/virtual/Policy.java
@@ -0,0 +1,45 @@
+package frostreel.lab.virtual;
+
+import frostreel.zones.ZoneAdviser;
+import frostreel.zones.ZoneSettings;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.function.BiFunction;
+import willowfield.Brain;
+import willowfield.Router;
+
+/** Decisions that runs are compared by. */
+public final class Policy {
+    /** A bound that binds nobody. */
+    private static final double UNBOUNDED = 1e6;
+
+    private Policy() {}
+
+    /** The decisions without an adviser on zones: another zone is dearer, and that is all. */
+    public static BiFunction<Router.Settings, Router.Actions, Router> plain() {
+        return Brain::new;
+    }
+
+    /** All that a lost zone leaves goes to the next one, without a bound. */
+    public static BiFunction<Router.Settings, Router.Actions, Router> allToTheNext(Plan plan) {
+        return tiers(plan, UNBOUNDED, UNBOUNDED);
+    }
+
+    /** The next zone as the first tier behind the own one, all others as the second. */
+    public static BiFunction<Router.Settings, Router.Actions, Router> tiers(Plan plan, double nextSpill,
+            double restSpill) {
+        return (settings, actions) -> {
+            int own = settings.zone();
+            int next = (own + 1) % plan.zones();
+            List<ZoneSettings.Tier> tiers = new ArrayList<>();
+            tiers.add(new ZoneSettings.Tier(List.of(next), nextSpill));
+            if (plan.zones() > 2) {
+                tiers.add(new ZoneSettings.Tier(List.of(), restSpill));
+            }
+            return new Brain(settings, actions, new ZoneAdviser(settings,
+                    new ZoneSettings(own, tiers, plan.zones() * plan.poolersPerZone()),
+                    new SplittableRandom(settings.seed()).nextDouble()));
+        };
+    }
+}
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -7,8 +7,11 @@
 import frostreel.net.Listener;
 import frostreel.net.Loop;
 import frostreel.net.ServerPool;
+import frostreel.settings.OperatorSettings;
+import frostreel.zones.ZoneAdviser;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.logging.Level;
@@ -33,24 +36,38 @@
     private final Broker broker;
     private final Listener listener;
     private Watch watch;
+    private ZoneAdviser advice;
     private final CountDownLatch listening = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
     private final long longestUs;
     private boolean ready;
 
-    public Pooler(Config config) throws IOException {
+    /** Serves by the platform's word and the operators'. */
+    public Pooler(Config config, OperatorSettings operators) throws IOException {
         loop = new Loop();
         pool = new ServerPool(loop, config.settings().limits(), config.maxServerConnections());
         broker = new Broker(loop.clock(), loop.deadlines(), loop.counters(), pool, config.settings(),
-                config.maxOpen(), Brain::new);
+                config.maxOpen(), (settings, actions) -> router(config, operators, settings, actions));
         longestUs = config.settings().classes().stream().mapToLong(Router.RequestClass::deadlineUs).max()
                 .orElse(0);
         listener = new Listener(loop, broker, config.settings().classes(), config.maxClients(),
                 config.usualClients());
+        listener.page("stats", () -> loop.counters().toString());
+        if (advice != null) {
+            listener.page("zones", advice::toString);
+        }
         watch = watch(config);
         loop.thread().execute(() -> start(config));
     }
 
+    private Router router(Config config, OperatorSettings operators, Router.Settings settings,
+            Router.Actions actions) {
+        advice = operators.zonesFor(settings.zone(), config.zones()).map(zones -> new ZoneAdviser(settings,
+                zones,
+                new SplittableRandom(settings.seed()).nextDouble())).orElse(null);
+        return advice == null ? new Brain(settings, actions) : new Brain(settings, actions, advice);
+    }
+
     private void start(Config config) {
         take(config.known(), Router.ListKind.CACHED);
         watch.start();
@@ -83,6 +100,18 @@
         });
     }
 
+    /** Goes over to the operators' new tiers; whether there are any, or none, is settled at the start. */
+    public void reload(Config config, OperatorSettings operators) {
+        loop.thread().execute(() -> operators.zonesFor(config.settings().zone(), config.zones())
+                .ifPresent(zones -> {
+                    if (advice == null) {
+                        LOG.warning("zones are stated now: they hold from the next start");
+                    } else {
+                        advice.configure(zones);
+                    }
+                }));
+    }
+
     private void listed(HostList list) {
         take(list, list.whole() ? Router.ListKind.FULL : Router.ListKind.CHANGES);
         becomeReady();
--- a/pooler/src/main/java/frostreel/cli/Rehearsal.java
+++ b/pooler/src/main/java/frostreel/cli/Rehearsal.java
@@ -4,6 +4,7 @@
 import frostreel.config.Config;
 import frostreel.config.ConfigException;
 import frostreel.pg.Messages;
+import frostreel.settings.OperatorSettings;
 import java.io.DataInputStream;
 import java.io.IOException;
 import java.io.InputStream;
@@ -45,7 +46,8 @@
             Files.writeString(file, new JSONObject(new String(in.readAllBytes(), StandardCharsets.UTF_8))
                     .put("listen", address).put("discovery", address).put("known", list).toString());
         }
-        Pooler pooler = new Pooler(Config.load(Map.of("GW_CONFIG", file.toString())));
+        Pooler pooler = new Pooler(Config.load(Map.of("GW_CONFIG", file.toString())),
+                OperatorSettings.DEFAULT);
         Files.delete(file);
         try (Socket client = new Socket(pooler.address().getAddress(), pooler.address().getPort())) {
             DataInputStream in = new DataInputStream(client.getInputStream());
--- a/pooler/src/main/java/frostreel/cli/Serve.java
+++ b/pooler/src/main/java/frostreel/cli/Serve.java
@@ -29,10 +29,10 @@
 
     @Override public Integer call() throws IOException {
         try {
-            if (settings != null) {
-                apply(OperatorSettings.read(settings));
-            }
-            Pooler pooler = new Pooler(Config.load(System.getenv()));
+            OperatorSettings operators = settings == null ? OperatorSettings.DEFAULT
+                    : OperatorSettings.read(settings);
+            Logging.configure(operators.logFormat(), operators.logLevel());
+            Pooler pooler = new Pooler(Config.load(System.getenv()), operators);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(pooler), "stop"));
             Hangup.handle(() -> reload(pooler));
             return GOES_ON;
@@ -42,22 +42,14 @@
         }
     }
 
-    private static void apply(OperatorSettings settings) {
-        Logging.configure(settings.logFormat(), settings.logLevel());
-    }
-
     /** On the signal's own thread, as reading a file may block; one at a time, so that the last file wins. */
     private synchronized void reload(Pooler pooler) {
-        if (settings != null) {
-            try {
-                apply(OperatorSettings.read(settings));
-                LOG.info("the settings of " + settings + " hold");
-            } catch (FaultyFileException e) {
-                LOG.warning(e.getMessage() + "; the settings in force are kept");
-            }
-        }
         try {
-            pooler.reload(Config.reload(System.getenv()));
+            Config config = Config.reload(System.getenv());
+            if (settings != null) {
+                reload(pooler, config);
+            }
+            pooler.reload(config);
         } catch (ConfigException e) {
             LOG.warning(e.getMessage() + "; the configuration in force is kept");
         } catch (RejectedExecutionException e) {
@@ -65,6 +57,17 @@
         }
     }
 
+    private void reload(Pooler pooler, Config config) {
+        try {
+            OperatorSettings operators = OperatorSettings.read(settings);
+            Logging.configure(operators.logFormat(), operators.logLevel());
+            pooler.reload(config, operators);
+            LOG.info("the settings of " + settings + " hold");
+        } catch (FaultyFileException e) {
+            LOG.warning(e.getMessage() + "; the settings in force are kept");
+        }
+    }
+
     private static void end(Pooler pooler) {
         // Not by the logger: it is shut down at the same time as this runs.
         System.err.println("frostreel: stopping: clients are served for a little longer");
--- a/pooler/src/main/java/frostreel/net/ClientConnection.java
+++ b/pooler/src/main/java/frostreel/net/ClientConnection.java
@@ -9,8 +9,7 @@
 import frostreel.pg.PgException;
 import frostreel.pg.Statement;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
-import java.util.Arrays;
+import java.util.function.Supplier;
 import org.xnio.StreamConnection;
 
 /**
@@ -20,7 +19,6 @@
 final class ClientConnection implements Stream.Handler, Caller {
     private enum Phase { STARTUP, RUNNING, LINGERING, CLOSED }
 
-    private static final byte[] SHOW_STATS = "SHOW stats\0".getBytes(StandardCharsets.US_ASCII);
     /** The longest query: a value of 64 KiB as hexadecimal text, twice as long, with room for the rest. */
     private static final int MOST_BYTES = (1 << 17) + (1 << 12);
     /** So much may wait unread behind a request; beyond it the client is not read from. */
@@ -198,9 +196,10 @@
             }
             return;
         }
-        if (Arrays.equals(body, SHOW_STATS)) {
+        Supplier<String> page = listener.page(body);
+        if (page != null) {
             asked = true;
-            answer(Messages.row("stats", loop.counters().toString()));
+            answer(Messages.row("page", page.get()));
             return;
         }
         Statement s;
--- a/pooler/src/main/java/frostreel/net/Listener.java
+++ b/pooler/src/main/java/frostreel/net/Listener.java
@@ -5,11 +5,13 @@
 import frostreel.pg.Statement;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import java.util.logging.Logger;
 import org.xnio.IoUtils;
 import org.xnio.OptionMap;
@@ -21,6 +23,8 @@
 /** Owns the listening socket and the clients' connections, up to their cap. */
 public final class Listener {
     private static final int BACKLOG = 1024;
+    /** Queries longer than this ask for no page, and are not looked up. */
+    private static final int MOST_PAGE_BYTES = 32;
     /** So many are accepted in one turn, so that a storm of connections leaves time to those in hand. */
     private static final int ACCEPTS_AT_ONCE = 32;
     /** So many descriptors are kept free by closing clients that ask for nothing. */
@@ -36,6 +40,7 @@
     private final Broker broker;
     private final List<Router.RequestClass> classes;
     private final Map<String, Integer> classNumbers = new HashMap<>();
+    private final Map<String, Supplier<String>> pages = new HashMap<>();
     private final int maxClients;
     /** Beyond so many clients that may ask, of which so many are idle, the longest idle is closed. */
     private final int usualBound;
@@ -104,6 +109,17 @@
         ready = true;
     }
 
+    /** Shows a page to whoever asks for it by SHOW and its name. */
+    public void page(String name, Supplier<String> text) {
+        pages.put("SHOW " + name + "\0", text);
+    }
+
+    /** The page that a query asks for, null where it asks for none. */
+    Supplier<String> page(byte[] query) {
+        return query.length > MOST_PAGE_BYTES ? null : pages.get(new String(query,
+                StandardCharsets.US_ASCII));
+    }
+
     boolean closing() {
         return closing;
     }
--- a/pooler/src/main/java/frostreel/settings/XmlFile.java
+++ b/pooler/src/main/java/frostreel/settings/XmlFile.java
@@ -35,7 +35,7 @@
     public static final int MOST_BYTES = 1 << 20;
     private static final int MOST_FAULTS = 100;
     private static final Pattern ATTRIBUTE = Pattern.compile("ttribute '([\\w:]+)'");
-    private static final Pattern ELEMENT = Pattern.compile("element '(?:\\{[^}]*\\}|\\w+:)?(\\w+)'");
+    private static final Pattern ELEMENT = Pattern.compile("element '(?:\\{\"[^\"]*\":)?(\\w+)\\}?'");
 
     private XmlFile() {}
 
--- a/pooler/src/test/java/frostreel/ServingTest.java
+++ b/pooler/src/test/java/frostreel/ServingTest.java
@@ -10,6 +10,8 @@
 import static frostreel.Stage.rows;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import frostreel.log.Logging;
+import frostreel.settings.OperatorSettings;
 import java.io.BufferedReader;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -454,6 +456,20 @@
         }
     }
 
+    @Test void withTiersStatedReadsKeepToThemAndTheOverviewIsShown() throws Exception {
+        stage.operators = new OperatorSettings(Logging.Format.TEXT, Level.INFO, new OperatorSettings.Zones(
+                List.of(new OperatorSettings.Tier(List.of(), 1)), 2));
+        start();
+        try (Stage.Link c = stage.client()) {
+            assertThat(value(c.ask(look("1", 9000)))).isEqualTo("from-replica");
+            assertThat(value(c.ask("SHOW zones"))).contains("sent_by_tier=[1, 0]")
+                    .contains("areas={0={UP=1}}");
+            stage.pooler.reload(frostreel.config.Config.load(Stage.environment(
+                    Stage.configuration(stage.discovery.address()))), stage.operators);
+            assertThat(value(c.ask("SHOW zones"))).contains("sent_by_tier=[0, 0]");
+        }
+    }
+
     @Test void readyOnlyOnceTheListIsKnown() throws Exception {
         stage.startSilent(host("a", primary, "primary", "Ready"));
         try (Stage.Link c = stage.client()) {
--- a/pooler/src/test/java/frostreel/Stage.java
+++ b/pooler/src/test/java/frostreel/Stage.java
@@ -1,6 +1,7 @@
 package frostreel;
 
 import frostreel.config.Config;
+import frostreel.settings.OperatorSettings;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -184,6 +185,7 @@
     final BlockingQueue<String> lists = new LinkedBlockingQueue<>();
     final Peer discovery;
     Pooler pooler;
+    OperatorSettings operators = OperatorSettings.DEFAULT;
 
     Stage() throws IOException {
         discovery = discovery(lists);
@@ -247,7 +249,7 @@
     }
 
     void startSilent(String... hosts) throws Exception {
-        pooler = new Pooler(Config.load(environment(configuration(discovery.address(), hosts))));
+        pooler = new Pooler(Config.load(environment(configuration(discovery.address(), hosts))), operators);
     }
 
     static String configuration(String discovery, String... hosts) {
--- a/pooler/src/test/java/frostreel/settings/OperatorSettingsTest.java
+++ b/pooler/src/test/java/frostreel/settings/OperatorSettingsTest.java
@@ -4,6 +4,7 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import frostreel.log.Logging;
+import frostreel.zones.ZoneSettings;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -34,7 +35,7 @@
 
     @Test void defaultsAreFilledIn() throws Exception {
         assertThat(OperatorSettings.read(file(HEAD + "<log format=\"json\"/></frostreel>")))
-                .isEqualTo(new OperatorSettings(Logging.Format.JSON, Level.INFO));
+                .isEqualTo(new OperatorSettings(Logging.Format.JSON, Level.INFO, null));
         assertThat(OperatorSettings.read(file(HEAD + "</frostreel>"))).isEqualTo(OperatorSettings.DEFAULT);
     }
 
@@ -48,6 +49,21 @@
         assertThat(faults.get(0).toString()).containsPattern("f\\.xml:3:\\d+: frostreel/log@\\w+: .+");
     }
 
+    @Test void tiersAreReadByNameAndTheirFaultsNamed() throws Exception {
+        OperatorSettings read = OperatorSettings.read(file(HEAD
+                + "<zones poolers='6'><tier zones='b c' spill='0.5'/><tier spill='0.2'/></zones>"
+                + "</frostreel>"));
+        assertThat(read.zonesFor(1, List.of("b", "a", "c", "d"))).hasValue(new ZoneSettings(1, List.of(
+                new ZoneSettings.Tier(List.of(0, 2), 0.5), new ZoneSettings.Tier(List.of(), 0.2)), 6));
+        assertThat(OperatorSettings.DEFAULT.zonesFor(0, List.of("a"))).isEmpty();
+        assertThat(faults(HEAD + "<zones poolers='6'>\n<tier spill='1'/>\n<tier zones='b b' spill='1'/>\n"
+                + "</zones></frostreel>")).extracting(f -> f.line() + " " + f.key()).containsExactly(
+                        "3 frostreel/zones/tier@zones", "4 frostreel/zones/tier@zones");
+        assertThat(faults(HEAD + "<zones poolers='0'>\n<tier spill='-1'/></zones></frostreel>"))
+                .extracting(Fault::key).containsExactly("frostreel/zones@poolers",
+                        "frostreel/zones/tier@spill");
+    }
+
     @Test void whatIsNotWellFormedIsToldByLine() throws Exception {
         assertThat(faults(HEAD + "<log>\n</frostreel>")).singleElement()
                 .satisfies(f -> assertThat(f.line()).isEqualTo(3));
