Spare idle clients only where three quarters of usual clients' places are taken

While a pooler warms up, half of the places are soon in use by requests in hand; the bound of Listener.spareIdle then closed connections that clients would have used again, and each new one cost time that was short.

Change: the bound holds from three quarters of the places on, not half.

--- a/pooler/src/main/java/frostreel/net/Listener.java
+++ b/pooler/src/main/java/frostreel/net/Listener.java
@@ -56,7 +56,7 @@
     private boolean ready;
     private boolean closing;
 
-    /** Of the {@code usualClients} that come to ask, half may stay open without a bound on the idle ones. */
+    /** Of the {@code usualClients} that come to ask, three quarters may stay without a bound on idle ones. */
     public Listener(Loop loop, Broker broker, List<Router.RequestClass> classes, int maxClients,
             int usualClients) {
         this.loop = loop;
@@ -64,7 +64,7 @@
         this.classes = classes;
         classes.forEach(c -> classNumbers.put(c.name(), classNumbers.size()));
         this.maxClients = maxClients;
-        usualBound = usualClients / 2;
+        usualBound = usualClients * 3 / 4;
         idleBound = usualClients / 3;
         clients = new SlotTable<>(maxClients + 1);
     }
