Ramp a returning zone half as fast again, and tell when worth is back

Need: after a return worth came back later than without tiers, while cold servers were sent a fifth of what fells one.

--- a/decisions/src/main/java/frostreel/zones/ZoneAdviser.java
+++ b/decisions/src/main/java/frostreel/zones/ZoneAdviser.java
@@ -28,6 +28,8 @@
     private static final double SAVED_US = 500_000;
     /** The worst class may spill only while a budget is at least so full. */
     private static final double RESERVE = 0.7;
+    /** A returning member is sent so many times its present share of what it served: it has room for that. */
+    private static final double HASTE = 1.5;
     private static final double SPAN_US = 10e6;
     private static final double MEAN = 0.05;
     /** Classes are put in order again after so many reads. */
@@ -254,7 +256,7 @@
         }
         // One that served this pooler nothing may still be sent a little: a core's work, shared by all
         // poolers.
-        double perUs = present * Math.max(a.usual(nowUs) / a.seats, 1.0 / zones.poolers());
+        double perUs = HASTE * present * Math.max(a.usual(nowUs) / a.seats, 1.0 / zones.poolers());
         return ramps.get(seat).level(nowUs, perUs, Math.max(perUs * set.rules().fallUs() / 2, anyWork)) > 0;
     }
 
--- a/lab/src/main/java/frostreel/lab/experiment/Experiment.java
+++ b/lab/src/main/java/frostreel/lab/experiment/Experiment.java
@@ -28,6 +28,7 @@
     private final XmlElement fleet;
     private final XmlElement clients;
     private final int durationS;
+    private int firstLossS = -1;
     private final Map<String, XmlElement> policies = new LinkedHashMap<>();
     private final List<Consumer<World>> faults = new ArrayList<>();
     private final List<Check> checks = new ArrayList<>();
@@ -88,6 +89,9 @@
             return;
         }
         int zone = zone(file, e, "zone", wrong);
+        if (e.name().equals("loseZone") && (firstLossS < 0 || e.number("atS") < firstLossS)) {
+            firstLossS = (int) e.number("atS");
+        }
         faults.add(switch (e.name()) {
             case "loseZone" -> world -> world.at(atUs, () -> world.loseZone(zone));
             case "returnZone" -> world -> world.at(atUs, () -> world.returnZone(zone));
@@ -123,6 +127,11 @@
         return seed;
     }
 
+    /** The second of the first loss of a zone, -1 where none is lost. */
+    int firstLossS() {
+        return firstLossS;
+    }
+
     List<String> policies() {
         return List.copyOf(policies.keySet());
     }
--- a/lab/src/main/java/frostreel/lab/experiment/Outcome.java
+++ b/lab/src/main/java/frostreel/lab/experiment/Outcome.java
@@ -8,6 +8,8 @@
 /** What one policy showed over all seeds played: means, or the largest where that is what counts. */
 final class Outcome {
     final String policy;
+    /** Recovered: this share of the all-knowing bound, for two seconds on end. */
+    private static final double BACK = 0.95;
     private final int zones;
     private final double[] worstByZone;
     private final double[] worthByZone;
@@ -20,6 +22,11 @@
     double coldMultiple;
     long broken;
     double requestsASecond;
+    /**
+     * Seconds from the first loss until worth is back at what counts as recovered; the rest of the run if
+     * never.
+     */
+    double backAfterS;
     int runs;
     /** By second: worth as a share, and the share of attempts that left their pooler's zone. */
     final double[] worthBySecond;
@@ -47,6 +54,7 @@
         world.run();
         requestsASecond += world.tally().requests() / ((System.nanoTime() - begun) / 1e9);
         runs++;
+        backAfterS += backAfter(experiment.firstLossS(), world, limit);
         worth += world.tally().worth(5, worthBySecond.length, -1);
         worstTen += world.tally().worstTenSeconds(-1);
         worstClass += world.tally().worstClass();
@@ -66,6 +74,19 @@
         }
     }
 
+    private double backAfter(int lossS, World world, Bound limit) {
+        if (lossS < 0) {
+            return 0;
+        }
+        for (int s = lossS + 1; s + 2 <= worthBySecond.length; s++) {
+            double bound = (limit.share(s) + limit.share(s + 1)) / 2;
+            if (world.tally().worth(s, s + 2, -1) >= BACK * bound) {
+                return s - lossS;
+            }
+        }
+        return worthBySecond.length - lossS;
+    }
+
     private long[] sent(World world) {
         long all = 0;
         long away = 0;
@@ -86,6 +107,7 @@
         bound /= runs;
         attempts /= runs;
         requestsASecond /= runs;
+        backAfterS /= runs;
         for (double[] each : new double[][] {worstByZone, worthByZone, worthBySecond, spiltBySecond}) {
             Arrays.setAll(each, i -> each[i] / runs);
         }
--- a/lab/src/main/java/frostreel/lab/experiment/Runner.java
+++ b/lab/src/main/java/frostreel/lab/experiment/Runner.java
@@ -17,7 +17,7 @@
 /** Plays an experiment in virtual time, keeps what it showed, and says whether its checks hold. */
 public final class Runner {
     private static final List<String> COLUMNS = List.of("policy", "worth", "worst 10 s", "worst class",
-            "bound 10 s", "of bound", "attempts", "fallen", "cold multiple", "broken");
+            "bound 10 s", "of bound", "back after s", "attempts", "fallen", "cold multiple", "broken");
     private final PrintWriter out;
 
     public Runner(PrintWriter out) {
@@ -72,7 +72,8 @@
 
     private static List<List<String>> rows(List<Outcome> outcomes) {
         return outcomes.stream().map(o -> List.of(o.policy, three(o.worth), three(o.worstTen),
-                three(o.worstClass), three(o.bound), three(o.worstTen / o.bound), three(o.attempts),
+                three(o.worstClass), three(o.bound), three(o.worstTen / o.bound), three(o.backAfterS),
+                        three(o.attempts),
                 Long.toString(o.fallen), three(o.coldMultiple), Long.toString(o.broken))).toList();
     }
 
@@ -88,7 +89,8 @@
                         new JSONArray(verdicts));
         for (Outcome o : outcomes) {
             result.append("policies", new JSONObject().put("policy", o.policy).put("worth", o.worth)
-                    .put("worstTenSeconds", o.worstTen).put("worstClass", o.worstClass).put("bound", o.bound)
+                    .put("worstTenSeconds", o.worstTen).put("worstClass", o.worstClass).put("bound",
+                            o.bound).put("backAfterS", o.backAfterS)
                     .put("attempts", o.attempts).put("fallen", o.fallen).put("coldMultiple", o.coldMultiple)
                     .put("broken", o.broken));
         }
--- a/lab/src/main/java/frostreel/lab/virtual/Bound.java
+++ b/lab/src/main/java/frostreel/lab/virtual/Bound.java
@@ -47,7 +47,7 @@
     }
 
     /** The share that it gets of what is asked in one second. */
-    double share(int second) {
+    public double share(int second) {
         record Demand(double work, double worth, double askedWorth) {}
         List<Demand> demands = new ArrayList<>();
         double rate = plan.perPooler() * plan.poolersPerZone() * plan.zones();
