Take back what waits for a connection to a server that drains, ends or moves

By reading, ServerPool.addresses closed idle connections of a server that wants nothing new but left the attempts that wait for a connection being opened, and ServerPool.free handed them one without a look at the server's state: how late an attempt goes out is bounded by the handshake alone (5 s), not by the rule (1 s).

Second hole of the same kind, found by reading the other path of free: when a connection had ended behind its handshake, run refused the waiting attempt, which then waited with nothing being opened for it.

Change: after the module knows of a list, ServerPool.withdraw closes what is idle or being opened to a server that wants nothing new or has moved, and ends the attempts beyond those still being opened as never sent, so that the module sends them elsewhere at once; a start to such a server is moot; a refused attempt bears its connection's failure. Where only draining binds, a gone server counts as usable, as it does in the module.

--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -45,7 +45,7 @@
     /** Serves by the platform's word and the operators'. */
     public Pooler(Config config, OperatorSettings operators) throws IOException {
         loop = new Loop();
-        pool = new ServerPool(loop, config.settings().limits(), config.maxServerConnections());
+        pool = new ServerPool(loop, config.settings(), config.maxServerConnections());
         broker = new Broker(loop.clock(), loop.deadlines(), loop.counters(), pool, config.settings(),
                 config.maxOpen(), (settings, actions) -> router(config, operators, settings, actions));
         longestUs = config.settings().classes().stream().mapToLong(Router.RequestClass::deadlineUs).max()
@@ -124,6 +124,7 @@
     private void take(HostList list, Router.ListKind kind) {
         pool.addresses(list.hosts(), kind != Router.ListKind.CHANGES);
         broker.members(kind, list.hosts().stream().map(HostList.Host::member).toList());
+        pool.withdraw();
     }
 
     private void becomeReady() {
--- a/pooler/src/main/java/frostreel/net/ServerPool.java
+++ b/pooler/src/main/java/frostreel/net/ServerPool.java
@@ -9,11 +9,14 @@
 import java.nio.charset.StandardCharsets;
 import java.net.InetSocketAddress;
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import willowfield.Router;
 import willowfield.Router.Outcome;
 
@@ -41,11 +44,16 @@
         }
     }
 
-    /** One server: its address, its idle connections (the last used first) and the attempts that wait. */
+    /**
+     * One server: its address, the connections being opened to it, its idle ones (the last used first) and
+     * the attempts that wait.
+     */
     static final class Server {
         InetSocketAddress address;
+        /** Whether it may be sent something new; one that drained is so no more, whatever it is later. */
         boolean usable;
-        int opening;
+        boolean drained;
+        final Set<ServerConnection> opening = new LinkedHashSet<>();
         final ArrayDeque<ServerConnection> idle = new ArrayDeque<>();
         final ArrayDeque<Attempt> waiting = new ArrayDeque<>();
     }
@@ -54,6 +62,7 @@
     private static final double IDLE_SHARE = 0.8;
     private static final byte[] SHOW_LOAD = Messages.query("SHOW load\0".getBytes(StandardCharsets.US_ASCII));
     private final Loop loop;
+    private final boolean onlyDrainingBinds;
     private final long connectTimeoutUs;
     private final long idleUs;
     private final Map<String, Server> servers = new HashMap<>();
@@ -62,36 +71,49 @@
     private final LinkedHashSet<ServerConnection> resting = new LinkedHashSet<>();
     private final SlotTable<Attempt> attempts = new SlotTable<>(1 << 16);
 
-    public ServerPool(Loop loop, Router.Limits limits, int maxConnections) {
+    public ServerPool(Loop loop, Router.Settings settings, int maxConnections) {
         this.loop = loop;
-        connectTimeoutUs = limits.connectTimeoutUs();
-        idleUs = (long) (limits.idleCloseUs() * IDLE_SHARE);
+        onlyDrainingBinds = settings.rules().onlyDrainingBinds();
+        connectTimeoutUs = settings.limits().connectTimeoutUs();
+        idleUs = (long) (settings.limits().idleCloseUs() * IDLE_SHARE);
         connections = new SlotTable<>(maxConnections);
     }
 
-    /** Takes the addresses of a list; idle connections to what wants nothing new are closed. */
+    /** Takes the addresses of a list, and what wants nothing new; {@link #withdraw} has to follow. */
     public void addresses(List<HostList.Host> hosts, boolean whole) {
-        if (whole) {
-            servers.values().forEach(s -> s.usable = false);
-        }
+        Set<Server> listed = new HashSet<>();
         for (HostList.Host h : hosts) {
             Server s = servers.computeIfAbsent(h.member().id(), id -> new Server());
-            if (!h.dial().equals(s.address)) {
-                closeIdle(s);
-            }
+            listed.add(s);
             s.address = h.dial();
-            s.usable = h.member().state() == Router.State.UP;
+            is(s, h.member().state());
         }
-        for (Server s : servers.values()) {
-            if (!s.usable) {
-                closeIdle(s);
-            }
+        if (whole) {
+            servers.values().stream().filter(s -> !listed.contains(s)).forEach(s -> is(s, Router.State.GONE));
         }
     }
 
-    private void closeIdle(Server s) {
-        List.copyOf(s.idle).forEach(ServerConnection::close);
-        s.idle.clear();
+    private void is(Server s, Router.State state) {
+        s.drained |= state == Router.State.DRAINING;
+        s.usable = state == Router.State.UP
+                || state == Router.State.GONE && onlyDrainingBinds && !s.drained;
+    }
+
+    /**
+     * Closes what is idle or being opened to servers that want nothing new, or that have moved, and ends the
+     * attempts that wait there: a handshake may take longer than the rule on drains allows, and would be
+     * followed by its attempt. The module must have been told of the list: it sends these elsewhere at once.
+     */
+    public void withdraw() {
+        for (Server s : List.copyOf(servers.values())) {
+            List<ServerConnection> unwanted = new ArrayList<>(s.idle);
+            unwanted.addAll(s.opening);
+            unwanted.removeIf(c -> s.usable && c.address.equals(s.address));
+            unwanted.forEach(ServerConnection::close);
+            for (int more = s.waiting.size() - s.opening.size(); more > 0; more--) {
+                finish(s.waiting.pollFirst(), Result.of(Outcome.MOOT));
+            }
+        }
     }
 
     @Override public long start(String memberId, Payload payload, long patienceUs, Sink sink) {
@@ -112,8 +134,8 @@
         Server s = servers.get(memberId);
         Attempt a = new Attempt(s, query, probe, sink);
         a.handle = attempts.add(a);
-        if (s == null) {
-            finish(a, Result.of(Outcome.CONNECT_FAILED));
+        if (s == null || !s.usable) {
+            finish(a, Result.of(s == null ? Outcome.CONNECT_FAILED : Outcome.MOOT));
             return a;
         }
         for (ServerConnection c = s.idle.pollFirst(); c != null; c = s.idle.pollFirst()) {
@@ -134,7 +156,7 @@
         }
         ServerConnection opened = new ServerConnection(loop, this, s);
         opened.handle = connections.add(opened);
-        s.opening++;
+        s.opening.add(opened);
         loop.counters().serverConnections++;
         opened.open(connectTimeoutUs);
         return a;
@@ -184,6 +206,8 @@
         if (next != null) {
             if (c.run(next)) {
                 s.waiting.pollFirst();
+            } else {
+                failUnserved(s, Outcome.CONNECT_FAILED);
             }
         } else if (s.usable && c.address.equals(s.address)) {
             s.idle.addFirst(c);
@@ -195,16 +219,19 @@
     }
 
     void opened(ServerConnection c) {
-        c.server.opening--;
+        c.server.opening.remove(c);
         free(c);
     }
 
-    /** A connection did not come up; the attempt that has waited longest bears it, if it has no other. */
+    /** A connection did not come up. */
     void openFailed(ServerConnection c, Outcome outcome) {
         loop.counters().serverConnectFailures++;
-        Server s = c.server;
-        s.opening--;
-        if (s.waiting.size() > s.opening) {
+        failUnserved(c.server, outcome);
+    }
+
+    /** Where more wait than connections are being opened, the one that waited longest bears the failure. */
+    private void failUnserved(Server s, Outcome outcome) {
+        if (s.waiting.size() > s.opening.size()) {
             finish(s.waiting.pollFirst(), Result.of(outcome));
         }
     }
@@ -213,6 +240,7 @@
     void closed(ServerConnection c) {
         connections.remove(c.handle);
         c.server.idle.remove(c);
+        c.server.opening.remove(c);
         resting.remove(c);
     }
 }
--- a/pooler/src/test/java/frostreel/ServingTest.java
+++ b/pooler/src/test/java/frostreel/ServingTest.java
@@ -568,6 +568,47 @@
         }
     }
 
+    /** Its handshake may last longer than the rule on drains allows, and the request would follow it. */
+    @Test void whatWaitsForAConnectionGoesElsewhereOnceItsServerDrainsOrMoves() throws Exception {
+        Stage.Peer moved = stage.server(rows("from-moved", "replica"));
+        replica.welcome = (text, link) -> replica.heard.add("a handshake that does not end");
+        start();
+        stage.discovery.next();
+        stage.discovery.next();
+        try (Stage.Link c = stage.client()) {
+            c.send(query(look("1", 9000)));
+            assertThat(replica.next()).isEqualTo("a handshake that does not end");
+            stage.lists.add(list(2, false, host("b", replica, "replica", "Terminating")));
+            assertThat(value(c.takeAnswer())).isEqualTo("from-primary");
+            assertThat(replica.ended.take()).isEqualTo("ended");
+
+            stage.lists.add(list(3, false, host("b", replica, "replica", "Ready")));
+            assertThat(stage.discovery.next()).contains("index=2&");
+            assertThat(stage.discovery.next()).contains("index=3&");
+            c.send(query(look("2", 9000)));
+            assertThat(replica.next()).isEqualTo("a handshake that does not end");
+            stage.lists.add(list(4, false, host("b", moved, "replica", "Ready")));
+            assertThat(value(c.takeAnswer())).isEqualTo("from-primary");
+            assertThat(replica.ended.take()).isEqualTo("ended");
+            assertThat(value(c.ask(look("3", 9000)))).isEqualTo("from-moved");
+        }
+        assertThat(stage.pooler.counters()).contains("outcomes={OK=3, MOOT=2}");
+    }
+
+    @Test void aServerThatEndsItsConnectionsBehindTheirHandshakeKeepsNoRequestWaiting() throws Exception {
+        replica.welcome = (text, link) -> {
+            link.send(Stage.bytes('R', new byte[4]), Stage.READY);
+            link.close();
+        };
+        start();
+        try (Stage.Link c = stage.client()) {
+            for (int i = 0; i < 50; i++) {
+                assertThat(value(c.ask(look("id" + i, 9000)))).isEqualTo("from-primary");
+            }
+        }
+        assertThat(stage.pooler.counters()).doesNotContain("MOOT").doesNotContain("TIMEOUT");
+    }
+
     @Test void theListStaysWhileDiscoveryIsAway() throws Exception {
         start();
         stage.discovery.close();
--- a/pooler/src/test/java/frostreel/Stage.java
+++ b/pooler/src/test/java/frostreel/Stage.java
@@ -115,6 +115,8 @@
         final BlockingQueue<String> ended = new LinkedBlockingQueue<>();
         final AtomicInteger links = new AtomicInteger();
         volatile Script script;
+        /** What a database does with the startup message. */
+        volatile Script welcome = (text, link) -> link.send(bytes('R', new byte[4]), READY);
         private final Thread acceptor;
 
         Peer(boolean database, Script script) throws IOException {
@@ -139,7 +141,7 @@
             link.socket.setSoTimeout(0);
             if (database) {
                 link.in.readNBytes(link.in.readInt() - 4);
-                link.send(bytes('R', new byte[4]), READY);
+                welcome.answer("", link);
             }
             while (true) {
                 String text = database ? link.take() : line(link.in);
