Guard run on the platform against whatever is optional

Need: what is for other installations must stay absent from `run`, and nobody notices when it does not.

The optional packages stand in one place, Packages; a package that stands in neither of its lists fails LayersTest. Pooler.router linked a lambda over ZoneSettings though no tiers were stated, which loaded two classes of frostreel.zones; it looks first now.

--- a/lab/src/test/java/frostreel/lab/LayersTest.java
+++ b/lab/src/test/java/frostreel/lab/LayersTest.java
@@ -3,6 +3,7 @@
 import static com.tngtech.archunit.core.domain.JavaClass.Predicates.belongToAnyOf;
 import static com.tngtech.archunit.core.domain.JavaClass.Predicates.resideInAnyPackage;
 import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+import static org.assertj.core.api.Assertions.assertThat;
 
 import com.tngtech.archunit.base.DescribedPredicate;
 import com.tngtech.archunit.core.domain.JavaClass;
@@ -11,9 +12,13 @@
 import com.tngtech.archunit.core.importer.ImportOption;
 import com.tngtech.archunit.lang.ArchRule;
 import java.time.Clock;
+import java.util.Set;
+import java.util.TreeSet;
 import java.util.concurrent.ThreadLocalRandom;
+import java.util.stream.Collectors;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.TestFactory;
 import willowfield.WireAdapter;
 
@@ -53,6 +58,14 @@
                         .because("the lab is not on the serving class path"));
     }
 
+    @Test void everyPackageIsKnownToServeOrToBeOptional() {
+        Set<String> packages = ALL.stream().map(JavaClass::getPackageName)
+                .filter(p -> !p.startsWith("frostreel.lab")).collect(Collectors.toCollection(TreeSet::new));
+        assertThat(packages).as("a new package is listed in Packages, so that the guard knows of it")
+                .containsExactlyInAnyOrderElementsOf(Stream.concat(Packages.SERVING.stream(),
+                        Packages.OPTIONAL.stream()).toList());
+    }
+
     @TestFactory Stream<DynamicTest> layersHold() {
         return rules().map(rule -> DynamicTest.dynamicTest(rule.getDescription(), () -> rule.check(ALL)));
     }
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -60,12 +60,15 @@
         loop.thread().execute(() -> start(config));
     }
 
+    /** Where no tiers are stated, nothing of zones is so much as loaded. */
     private Router router(Config config, OperatorSettings operators, Router.Settings settings,
             Router.Actions actions) {
-        advice = operators.zonesFor(settings.zone(), config.zones()).map(zones -> new ZoneAdviser(settings,
-                zones,
-                new SplittableRandom(settings.seed()).nextDouble())).orElse(null);
-        return advice == null ? new Brain(settings, actions) : new Brain(settings, actions, advice);
+        if (operators.zones() == null) {
+            return new Brain(settings, actions);
+        }
+        advice = new ZoneAdviser(settings, operators.zonesFor(settings.zone(), config.zones()).orElseThrow(),
+                new SplittableRandom(settings.seed()).nextDouble());
+        return new Brain(settings, actions, advice);
     }
 
     private void start(Config config) {
