Serve by the known list only with what changed since it, as a start outlasts the rule on drains

Change: the watch's first call does not wait (`wait=1`), so that its answer tells at once what changed, if anything; Pooler takes the known list together with that answer, and is ready then; where discovery stays silent, after 1 s. Until then requests are refused as harmless, as before a list. It costs one call for an empty list each start.

Test: ServingTest.nothingIsSentByTheListFromTheStart... fails without it.

--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -23,6 +23,8 @@
 public final class Pooler {
     /** Started without a list, it serves after so long at the latest, and learns of servers as they come. */
     private static final long LIST_PATIENCE_US = 2_000_000;
+    /** A silent discovery keeps a pooler out for no longer than this where that knows its servers. */
+    private static final long KNOWN_PATIENCE_US = 1_000_000;
     /** After SIGTERM clients still come for a while; for so long they are served as ever. */
     private static final long STAY_US = 700_000;
     /** SIGKILL comes no sooner than the longest deadline, or this where that is longer, and the stay. */
@@ -36,6 +38,8 @@
     private final Broker broker;
     private final Listener listener;
     private Watch watch;
+    /** The list known from the start; null once it is taken. */
+    private HostList known;
     private ZoneAdviser advice;
     private final CountDownLatch listening = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
@@ -56,7 +60,8 @@
         if (advice != null) {
             listener.page("zones", advice::toString);
         }
-        watch = watch(config, config.known().hosts().isEmpty() ? -1 : config.known().seq());
+        known = config.known();
+        watch = watch(config, known.hosts().isEmpty() ? -1 : known.seq());
         loop.thread().execute(() -> start(config));
     }
 
@@ -72,17 +77,13 @@
     }
 
     private void start(Config config) {
-        take(config.known(), Router.ListKind.CACHED);
         watch.start();
         try {
             listener.open(config.listen());
             listening.countDown();
             LOG.info("listening on " + listener.address() + " as " + config.name());
-            if (config.known().hosts().isEmpty()) {
-                loop.deadlines().after(LIST_PATIENCE_US, this::becomeReady);
-            } else {
-                becomeReady(); // A silent discovery must not keep a pooler out that knows its servers.
-            }
+            loop.deadlines().after(known.hosts().isEmpty() ? LIST_PATIENCE_US : KNOWN_PATIENCE_US,
+                    this::becomeReady);
         } catch (IOException e) {
             LOG.log(Level.SEVERE, "GW_LISTEN: cannot listen on " + config.listen(), e);
             new Thread(() -> System.exit(1), "exit").start();
@@ -120,10 +121,24 @@
     }
 
     private void listed(HostList list) {
+        takeKnown();
         take(list, list.whole() ? Router.ListKind.FULL : Router.ListKind.CHANGES);
         becomeReady();
     }
 
+    /**
+     * The list known from the start counts only together with what changed since, or where discovery stays
+     * silent: what drained or ended while this process was away and starting counts as told to it from its
+     * first moment, and a start may take longer than the rule on drains allows.
+     */
+    private void takeKnown() {
+        if (known != null) {
+            HostList first = known;
+            known = null;
+            take(first, Router.ListKind.CACHED);
+        }
+    }
+
     private void take(HostList list, Router.ListKind kind) {
         pool.addresses(list.hosts(), kind != Router.ListKind.CHANGES);
         broker.members(kind, list.hosts().stream().map(HostList.Host::member).toList());
@@ -132,6 +147,7 @@
 
     private void becomeReady() {
         if (!ready) {
+            takeKnown();
             ready = true;
             listener.becomeReady();
             LOG.info("ready");
--- a/pooler/src/main/java/frostreel/discovery/Watch.java
+++ b/pooler/src/main/java/frostreel/discovery/Watch.java
@@ -29,6 +29,8 @@
  */
 public final class Watch implements Stream.Handler {
     private static final long WAIT_MS = 20_000;
+    /** The first call does not wait: its answer tells that the list in hand is what discovery has now. */
+    private static final long FIRST_WAIT_MS = 1;
     /** How long a call may take beyond its own wait; the agent answers at once. */
     private static final long PATIENCE_US = 1_500_000;
     private static final long RETRY_LEAST_US = 50_000;
@@ -45,6 +47,7 @@
     private Deadlines.Deadline patience;
     private long seq;
     private long retryUs = RETRY_LEAST_US;
+    private boolean answered;
     private boolean silent;
     private boolean stopped;
     private Deadlines.Deadline retry;
@@ -93,8 +96,9 @@
         loop.counters().watches++;
         loop.deadlines().cancel(patience);
         response = new HttpResponse();
-        String query = seq < 0 ? "" : "?index=" + seq + "&wait=" + WAIT_MS;
-        patience = loop.deadlines().after(PATIENCE_US + (seq < 0 ? 0 : WAIT_MS * 1000),
+        long waitMs = seq < 0 ? 0 : answered ? WAIT_MS : FIRST_WAIT_MS;
+        String query = seq < 0 ? "" : "?index=" + seq + "&wait=" + waitMs;
+        patience = loop.deadlines().after(PATIENCE_US + waitMs * 1000,
                 () -> again("no answer"));
         String host = address.getAddress().getHostAddress() + ":" + address.getPort();
         stream.write(("GET /discovery/hosts" + query + " HTTP/1.1\r\nHost: " + host + "\r\nAccept: "
@@ -114,6 +118,7 @@
             // Numbers that went back are of another count, and changes since then are not what we lack.
             seq = list.whole() || list.seq() >= seq ? list.seq() : -1;
             loop.counters().lists++;
+            answered = true;
             retryUs = RETRY_LEAST_US;
             if (silent) {
                 silent = false;
--- a/pooler/src/test/java/frostreel/ServingTest.java
+++ b/pooler/src/test/java/frostreel/ServingTest.java
@@ -533,17 +533,37 @@
     /** Many that start at once and each ask for the whole list keep discovery from answering any of them. */
     @Test void startedWithAListItServesWithoutDiscoveryAndAsksOnlyForWhatChanged() throws Exception {
         stage.startSilent(host("a", primary, "primary", "Ready"), host("b", replica, "replica", "Ready"));
-        assertThat(stage.discovery.next()).startsWith("GET /discovery/hosts?index=0&wait=");
+        assertThat(stage.discovery.next()).startsWith("GET /discovery/hosts?index=0&wait=1 ");
         try (Stage.Link c = stage.client()) {
-            assertThat(c.ask("")).containsExactly("I");
+            untilReady(c);
             assertThat(value(c.ask(look("1", 9000)))).isEqualTo("from-replica");
             stage.lists.add(list(7, false, host("b", replica, "replica", "Terminating")));
-            assertThat(stage.discovery.next()).contains("index=7&");
+            assertThat(stage.discovery.next()).contains("index=7&wait=20000 ");
             assertThat(value(c.ask(look("2", 9000)))).isEqualTo("from-primary");
             assertThat(stage.discovery.heard).isEmpty();
         }
     }
 
+    /** A start may take longer than the rule on drains allows; what drained meanwhile counts as told. */
+    @Test void nothingIsSentByTheListFromTheStartBeforeDiscoveryToldWhatChangedSince() throws Exception {
+        stage.startSilent(host("a", primary, "primary", "Ready"), host("b", replica, "replica", "Ready"));
+        try (Stage.Link c = stage.client()) {
+            assertThat(c.ask("")).singleElement().asString().contains("|C57P03|");
+            assertThat(c.ask(look("1", 9000))).singleElement().asString().contains("|C53300|");
+            stage.lists.add(list(7, false, host("b", replica, "replica", "Terminating")));
+            untilReady(c);
+            assertThat(value(c.ask(look("2", 9000)))).isEqualTo("from-primary");
+        }
+        assertThat(replica.heard).isEmpty();
+        assertThat(stage.pooler.counters()).contains(" attempts=1 ");
+    }
+
+    private static void untilReady(Stage.Link c) throws IOException {
+        for (List<String> answer = c.ask(""); !answer.equals(List.of("I")); answer = c.ask("")) {
+            assertThat(answer).singleElement().asString().contains("|C57P03|");
+        }
+    }
+
     @Test void aListWhoseNumbersWentBackIsAskedForWhole() throws Exception {
         stage.startSilent(host("a", primary, "primary", "Ready"));
         stage.lists.add(list(9, false));
