--- a/lab/src/main/java/frostreel/lab/model/Kernel.java
+++ b/lab/src/main/java/frostreel/lab/model/Kernel.java
@@ -1,39 +1,10 @@
 package frostreel.lab.model;
 
-import java.util.PriorityQueue;
+/** The time on which the model runs: virtual, or that of the sockets it stands behind. One thread has it. */
+public interface Kernel {
+    /** Unix microseconds; never goes back. */
+    long now();
 
-/** Virtual time: tasks run in the order of their times, and of their making where those are equal. */
-public final class Kernel {
-    private record Event(long atUs, long order, Runnable task) implements Comparable<Event> {
-        @Override public int compareTo(Event o) {
-            return atUs != o.atUs ? Long.compare(atUs, o.atUs) : Long.compare(order, o.order);
-        }
-    }
-
-    private final PriorityQueue<Event> events = new PriorityQueue<>(1 << 12);
-    private long nowUs;
-    private long orders;
-
-    public Kernel(long startUs) {
-        nowUs = startUs;
-    }
-
-    /** Unix microseconds. */
-    public long now() {
-        return nowUs;
-    }
-
-    public void after(long us, Runnable task) {
-        events.add(new Event(nowUs + Math.max(0, us), orders++, task));
-    }
-
-    /** Runs all that is due up to that time, and stands there. */
-    public void runUntil(long atUs) {
-        while (!events.isEmpty() && events.peek().atUs <= atUs) {
-            Event e = events.poll();
-            nowUs = e.atUs;
-            e.task.run();
-        }
-        nowUs = Math.max(nowUs, atUs);
-    }
+    /** Runs a task in so many microseconds; at once, after what is due before it, where there are none. */
+    void after(long us, Runnable task);
 }
--- a/lab/src/main/java/frostreel/lab/model/Server.java
+++ b/lab/src/main/java/frostreel/lab/model/Server.java
@@ -52,6 +52,7 @@
     private boolean up = true;
     private boolean fallen;
     private boolean vanished;
+    private boolean draining;
     private boolean primary;
     private long bornUs;
     private double slowdown = 1;
@@ -171,6 +172,15 @@
         occupy(-running);
     }
 
+    /** From now on it turns away what comes, and finishes what it has. */
+    public void drain() {
+        draining = true;
+    }
+
+    public boolean draining() {
+        return draining;
+    }
+
     /** Whether it says nothing, not even that it is gone. */
     public boolean vanished() {
         return vanished;
@@ -179,6 +189,7 @@
     /** It starts cold, and goes on from where its log stood. */
     public void start() {
         vanished = false;
+        draining = false;
         if (!fallen) {
             applied();
             up = true;
@@ -197,6 +208,10 @@
             }
             return;
         }
+        if (draining) {
+            end(job, Outcome.FULL);
+            return;
+        }
         if (bornUs != 0 && pushedOver(job.work)) {
             fallen = true;
             end(job, Outcome.RESET);
--- a/lab/src/main/java/frostreel/lab/virtual/World.java
+++ b/lab/src/main/java/frostreel/lab/virtual/World.java
@@ -2,16 +2,13 @@
 
 import frostreel.broker.Broker;
 import frostreel.broker.Caller;
-import frostreel.lab.model.Kernel;
-import frostreel.lab.model.Links;
-import frostreel.lab.model.Physics;
+import frostreel.lab.model.Cluster;
 import frostreel.lab.model.Server;
+import frostreel.lab.model.VirtualTime;
 import frostreel.lab.rules.RuleBook;
 import frostreel.lab.rules.Witness.Answer;
 import java.util.ArrayList;
-import java.util.LinkedHashMap;
 import java.util.List;
-import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.function.BiFunction;
 import willowfield.Router;
@@ -20,19 +17,13 @@
 public final class World {
     /** Any time will do; this one can be told from a span of time. */
     private static final long START_US = 1_700_000_000_000_000L;
-    private static final long WITHIN_US = 250;
-    private static final long BETWEEN_US = 1_500;
     private static final int SESSIONS = 500;
-    /** An election: so long until a primary is given up, and until a replica takes over. */
-    private static final long LEAST_ELECTION_US = 2_800_000;
-    private static final long MOST_ELECTION_US = 6_500_000;
     /** What is asked near the end is still answered. */
     private static final long AFTERMATH_US = 10_000_000;
 
     private final Plan plan;
-    private final Kernel kernel = new Kernel(START_US);
-    private final Links links;
-    private final Map<String, Server> servers = new LinkedHashMap<>();
+    private final VirtualTime kernel = new VirtualTime(START_US);
+    private final Cluster cluster;
     private final List<VirtualPooler> poolers = new ArrayList<>();
     private final Tally tally;
     private final RuleBook rules;
@@ -45,37 +36,24 @@
         this.plan = plan;
         SplittableRandom seeds = new SplittableRandom(plan.seed());
         chance = seeds.split();
-        links = new Links(plan.zones(), WITHIN_US, BETWEEN_US);
         tally = new Tally((int) (plan.durationUs() / 1_000_000), plan.zones(), Plan.KINDS.size());
         Router.Settings told = plan.settings(0, 0);
         rules = new RuleBook(told.limits(), told.rules());
-        for (int g = 0; g < plan.groups(); g++) {
-            for (int z = 0; z < plan.zones(); z++) {
-                String id = String.format("g%03d-%08x", g, chance.nextInt());
-                Server s = new Server(kernel, Physics.USUAL, id, z, g, plan.cores(), 1);
-                s.promote(z == g % plan.zones());
-                servers.put(id, s);
-            }
-        }
+        cluster = new Cluster(kernel, chance, plan.zones(), plan.groups(), plan.cores(), this::tellLate);
         int count = plan.zones() * plan.poolersPerZone();
         clients = new SplittableRandom[count];
         lastWriteUs = new long[count][SESSIONS];
         for (int i = 0; i < count; i++) {
             int zone = i % plan.zones();
             clients[i] = seeds.split();
-            VirtualPooler p = new VirtualPooler(i, zone, plan.zones(), kernel, links, servers, rules,
+            VirtualPooler p = new VirtualPooler(i, zone, plan.zones(), kernel, cluster.links(), cluster.servers(), rules,
                     plan.settings(zone, seeds.nextLong()), maker);
             poolers.add(p);
-            p.told(Router.ListKind.FULL, servers.values().stream().map(World::entry).toList());
+            p.told(Router.ListKind.FULL, cluster.all().stream().map(Cluster::entry).toList());
             nextArrival(p);
         }
     }
 
-    private static Router.Member entry(Server s) {
-        return new Router.Member(s.id, s.zone, 0, s.group, s.primary(),
-                s.up() ? Router.State.UP : Router.State.GONE, 1, s.bornUs());
-    }
-
     // ---- Faults; each at a time from the start. ----
 
     /** Has something happen. */
@@ -85,87 +63,37 @@
 
     /** All servers of a zone vanish: they say nothing, and the list says so late. */
     public void loseZone(int zone) {
-        servers.values().stream().filter(s -> s.zone == zone && s.up()).forEach(s -> {
-            boolean led = s.primary();
-            s.vanish();
-            if (led) {
-                elect(s.group);
-            }
-            tellLate(s, entry(s));
-        });
+        cluster.zone(zone).forEach(cluster::vanish);
     }
 
     /** The zone's servers come back, all of them cold. */
     public void returnZone(int zone) {
-        servers.values().stream().filter(s -> s.zone == zone).forEach(s -> {
-            s.start();
-            if (s.up()) {
-                tellLate(s, entry(s));
-            }
-        });
-        feedAll();
+        cluster.zone(zone).forEach(cluster::start);
     }
 
     /** Servers keep running, and what one zone sends another is lost on the way. */
     public void cut(int from, int to, boolean isCut) {
-        links.cut(from, to, isCut);
-        feedAll();
+        cluster.cut(from, to, isCut);
     }
 
     /** Every server of a zone takes so many times as long. */
     public void slowZone(int zone, double times) {
-        servers.values().stream().filter(s -> s.zone == zone).forEach(s -> s.slowDown(times));
+        cluster.zone(zone).forEach(s -> s.slowDown(times));
     }
 
     /** Replicas of a zone apply so many seconds of the log in a second. */
     public void replayZone(int zone, double rate) {
-        servers.values().stream().filter(s -> s.zone == zone).forEach(s -> s.replayAt(rate));
+        cluster.zone(zone).forEach(s -> s.replayAt(rate));
     }
 
-    private void tellLate(Server s, Router.Member entry) {
+    private void tellLate(Server s) {
+        Router.Member entry = Cluster.entry(s);
         for (VirtualPooler p : poolers) {
             kernel.after(plan.listLagUs() + chance.nextLong(50_000),
                     () -> p.told(Router.ListKind.CHANGES, List.of(entry)));
         }
     }
 
-    private List<Server> group(int group) {
-        return servers.values().stream().filter(s -> s.group == group).toList();
-    }
-
-    private void feedAll() {
-        for (int g = 0; g < plan.groups(); g++) {
-            feed(g);
-        }
-    }
-
-    /** Who has the log of a group's primary: all that it reaches. */
-    private void feed(int group) {
-        List<Server> members = group(group);
-        Server primary = members.stream().filter(Server::primary).findFirst().orElse(null);
-        members.forEach(s -> s.feed(primary != null && s.up() && links.open(primary.zone, s.zone)));
-    }
-
-    private void elect(int group) {
-        feed(group);
-        kernel.after(chance.nextLong(LEAST_ELECTION_US, MOST_ELECTION_US), () -> {
-            Server best = null;
-            for (Server s : group(group)) {
-                if (s.primary()) {
-                    return;
-                }
-                best = s.up() && (best == null || s.applied() > best.applied()) ? s : best;
-            }
-            if (best == null) {
-                elect(group);
-                return;
-            }
-            best.promote(true);
-            feed(group);
-            tellLate(best, entry(best));
-        });
-    }
-
     // ---- Clients. ----
 
     private void nextArrival(VirtualPooler p) {
@@ -263,12 +191,12 @@
 
     /** How many servers were knocked over while cold. */
     public long fallen() {
-        return servers.values().stream().filter(Server::fallen).count();
+        return cluster.all().stream().filter(Server::fallen).count();
     }
 
     /** The largest multiple of its present capacity that any cold server was sent. */
     public double largestMultiple() {
-        return servers.values().stream().mapToDouble(Server::largestMultiple).max().orElse(0);
+        return cluster.all().stream().mapToDouble(Server::largestMultiple).max().orElse(0);
     }
 
     /** Attempts begun by poolers of one zone to servers of another, since the start. */
@@ -288,12 +216,12 @@
 
     /** Cores' worth of work that all servers together can do now. */
     double capacity() {
-        return servers.values().stream().filter(Server::up).mapToDouble(Server::capacity).sum();
+        return cluster.all().stream().filter(Server::up).mapToDouble(Server::capacity).sum();
     }
 
     /** Whether a group has a primary now. */
     boolean led(int group) {
-        return servers.values().stream().anyMatch(s -> s.group == group && s.primary());
+        return cluster.all().stream().anyMatch(s -> s.group == group && s.primary());
     }
 
     /** Equal for equal runs, to the byte. */
--- a/lab/src/test/java/frostreel/lab/model/ServerTest.java
+++ b/lab/src/test/java/frostreel/lab/model/ServerTest.java
@@ -9,7 +9,7 @@
 
 class ServerTest {
     private static final long START_US = 1_000_000_000;
-    private final Kernel kernel = new Kernel(START_US);
+    private final VirtualTime kernel = new VirtualTime(START_US);
     private final Server server = new Server(kernel, Physics.USUAL, "s", 0, 0, 2, 1);
     private final List<String> ended = new ArrayList<>();
 
