--- a/lab/src/main/java/frostreel/lab/model/Cluster.java
+++ b/lab/src/main/java/frostreel/lab/model/Cluster.java
@@ -26,7 +26,7 @@
     private final Map<String, Server> servers = new LinkedHashMap<>();
 
     /**
-     * Each zone has one member of each group; {@code changed} hears of each server of which the list has news.
+     * Each zone has one member of each group; {@code changed} hears of each server that the list has news of.
      */
     public Cluster(Kernel kernel, SplittableRandom chance, int zones, int groups, int cores,
             Consumer<Server> changed) {
--- a/lab/src/main/java/frostreel/lab/virtual/World.java
+++ b/lab/src/main/java/frostreel/lab/virtual/World.java
@@ -46,8 +46,8 @@
         for (int i = 0; i < count; i++) {
             int zone = i % plan.zones();
             clients[i] = seeds.split();
-            VirtualPooler p = new VirtualPooler(i, zone, plan.zones(), kernel, cluster.links(), cluster.servers(), rules,
-                    plan.settings(zone, seeds.nextLong()), maker);
+            VirtualPooler p = new VirtualPooler(i, zone, plan.zones(), kernel, cluster.links(),
+                    cluster.servers(), rules, plan.settings(zone, seeds.nextLong()), maker);
             poolers.add(p);
             p.told(Router.ListKind.FULL, cluster.all().stream().map(Cluster::entry).toList());
             nextArrival(p);
--- a/pooler/src/test/java/frostreel/ServingTest.java
+++ b/pooler/src/test/java/frostreel/ServingTest.java
@@ -276,7 +276,9 @@
             assertThat(late.ask("")).containsExactly("I");
             assertThat(clients.get(0).endsNext()).isTrue();
         }
-        assertThat(stage.pooler.counters()).contains(" clients_evicted=1 clients_spared=0 ");
+        while (!stage.pooler.counters().contains(" clients_evicted=1 clients_spared=0 ")) {
+            Thread.onSpinWait(); // The client sees its end before the pooler counts it.
+        }
         for (Stage.Link c : clients) {
             c.close();
         }
