Take what discovery told before acting on anything else after a silence of the loop

Cause: a paused process that wakes finds requests and the list on its sockets at once and takes them in the order in which they came.

Change: Loop.awake runs before whatever comes from outside is handled (Stream.guarded, the alarm); after 0.2 s without any, Watch.readNow takes what discovery has written. In steady work it is one look at the clock; an idle pooler pays one read that finds nothing a burst. Lines at fault: Stream.guarded handled each socket by itself.

Test: ServingTest.aPausedProcessThatWakes... stops a process of the program, lets the request and then the list come, and wakes it; fails without the change (tried).

--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -62,6 +62,7 @@
         }
         known = config.known();
         watch = watch(config, known.hosts().isEmpty() ? -1 : known.seq());
+        loop.onAwakening(() -> watch.readNow());
         loop.thread().execute(() -> start(config));
     }
 
--- a/pooler/src/main/java/frostreel/discovery/Watch.java
+++ b/pooler/src/main/java/frostreel/discovery/Watch.java
@@ -92,6 +92,13 @@
         drop();
     }
 
+    /** Takes what discovery has written by now, before anything else that has come is acted upon. */
+    public void readNow() {
+        if (stream != null) {
+            stream.readNow();
+        }
+    }
+
     private void call() {
         loop.counters().watches++;
         loop.deadlines().cancel(patience);
--- a/pooler/src/main/java/frostreel/net/Loop.java
+++ b/pooler/src/main/java/frostreel/net/Loop.java
@@ -16,6 +16,8 @@
 /** Owns the one I/O thread on which all else runs, its clock, its deadlines and the buffer it reads into. */
 public final class Loop {
     private static final int READ_BYTES = 1 << 16;
+    /** A part of the second that the rule on drains allows; more often, a look for news costs too much. */
+    private static final long SILENCE_US = 200_000;
     private final XnioWorker worker;
     private final XnioIoThread thread;
     private final Clock clock = Clock.system();
@@ -24,6 +26,8 @@
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
     private XnioExecutor.Key alarm;
     private boolean ending;
+    private Runnable awoken = () -> { };
+    private long lastUs = clock.now();
 
     public Loop() throws IOException {
         worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
@@ -41,10 +45,28 @@
         }
         alarm = thread.executeAfter(() -> {
             alarm = null;
+            awake();
             deadlines.runDue();
         }, us, TimeUnit.MICROSECONDS);
     }
 
+    /** What runs first of all after a silence. */
+    public void onAwakening(Runnable first) {
+        awoken = first;
+    }
+
+    /**
+     * Called before whatever comes from outside is handled. A process that was paused, or had no part of a
+     * core, finds much at once: what it was told meanwhile has to be known before the rest is acted upon.
+     */
+    void awake() {
+        long silentSinceUs = lastUs;
+        lastUs = clock.now();
+        if (lastUs - silentSinceUs > SILENCE_US) {
+            awoken.run();
+        }
+    }
+
     /** Ends the thread and waits, a little at the most, until it has ended. */
     public void end() throws InterruptedException {
         thread.execute(() -> {
--- a/pooler/src/main/java/frostreel/net/Stream.java
+++ b/pooler/src/main/java/frostreel/net/Stream.java
@@ -68,6 +68,7 @@
     }
 
     private void guarded(Runnable task) {
+        loop.awake(); // Which may close this very connection.
         if (closed) {
             return;
         }
@@ -101,7 +102,7 @@
     }
 
     /** Hands on what has come and is still unread; whether there was any, or the other side had ended. */
-    boolean readNow() {
+    public boolean readNow() {
         long before = reads;
         guarded(this::readable);
         return closed || reads != before;
--- a/pooler/src/test/java/frostreel/ServingTest.java
+++ b/pooler/src/test/java/frostreel/ServingTest.java
@@ -14,6 +14,7 @@
 import frostreel.settings.OperatorSettings;
 import java.io.BufferedReader;
 import java.io.IOException;
+import java.net.Socket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -650,10 +651,7 @@
                 Stage.configuration(stage.discovery.address())));
         Path file = Path.of(environment.get("GW_CONFIG"));
         environment.put("GW_DISCOVERY", stage.discovery.address()); // As old as the start: the file must win.
-        ProcessBuilder command = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(),
-                "-cp", System.getProperty("java.class.path"), "frostreel.cli.Main", "serve");
-        command.environment().putAll(environment);
-        Process program = command.start();
+        Process program = program(environment);
         try (BufferedReader log = program.errorReader()) {
             stage.lists.add(list(7, true));
             await(log, "ready");
@@ -681,11 +679,8 @@
         Path settings = Files.createTempFile("settings", ".xml");
         String good = "<frostreel xmlns=\"urn:frostreel:settings:1\"><log format=\"json\"/></frostreel>";
         Files.writeString(settings, good);
-        ProcessBuilder command = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(),
-                "-cp", System.getProperty("java.class.path"), "frostreel.cli.Main", "serve", "--settings",
-                settings.toString());
-        command.environment().putAll(Stage.environment(Stage.configuration(stage.discovery.address())));
-        Process program = command.start();
+        Process program = program(Stage.environment(Stage.configuration(stage.discovery.address())),
+                "--settings", settings.toString());
         try (BufferedReader log = program.errorReader()) {
             stage.lists.add(list(7, true));
             await(log, "\"message\":\"ready\"");
@@ -701,14 +696,68 @@
         Files.delete(settings);
     }
 
+    /** The program as its own process, with these options of {@code serve}. */
+    private static Process program(Map<String, String> environment, String... options) throws Exception {
+        List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElseThrow(),
+                "-cp", System.getProperty("java.class.path"), "frostreel.cli.Main", "serve"));
+        command.addAll(List.of(options));
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().putAll(environment);
+        return builder.start();
+    }
+
     private static void hangUp(Process program) throws Exception {
-        new ProcessBuilder("kill", "-HUP", Long.toString(program.pid())).start().waitFor();
+        signal(program, "HUP");
+    }
+
+    private static void signal(Process program, String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(program.pid())).start().waitFor();
+    }
+
+    private static Path stat(Process program) {
+        return Path.of("/proc/" + program.pid() + "/stat");
+    }
+
+    /** What comes first on its sockets is the request, then the list: the order that would mislead it. */
+    @Test void aPausedProcessThatWakesKnowsWhatDiscoveryToldBeforeItSends() throws Exception {
+        Process program = program(Stage.environment(Stage.configuration(stage.discovery.address(),
+                host("a", primary, "primary", "Ready"), host("b", replica, "replica", "Ready"))));
+        try (BufferedReader log = program.errorReader()) {
+            stage.lists.add(list(1, false));
+            String listening = await(log, "listening on /127.0.0.1:");
+            await(log, "ready");
+            assertThat(stage.told.take()).isEqualTo("told");
+            int port = Integer.parseInt(listening.replaceAll(".*127.0.0.1:(\\d+) .*", "$1"));
+            try (Stage.Link c = new Stage.Link(new Socket("127.0.0.1", port))) {
+                c.send(Stage.startup());
+                c.takeAnswer();
+                assertThat(value(c.ask(look("1", 9000)))).isEqualTo("from-replica");
+                signal(program, "STOP");
+                while (!Files.readString(stat(program)).contains(") T ")) {
+                    Thread.onSpinWait();
+                }
+                long pausedAt = System.nanoTime();
+                c.send(query(look("2", 9000)));
+                stage.lists.add(list(2, false, host("b", replica, "replica", "Terminating")));
+                assertThat(stage.told.take()).isEqualTo("told");
+                while (System.nanoTime() - pausedAt < 300_000_000) { // What a silence is; longer is as good.
+                    Thread.onSpinWait();
+                }
+                signal(program, "CONT");
+                assertThat(value(c.takeAnswer())).isEqualTo("from-primary");
+                assertThat(replica.heard).hasSize(1);
+            }
+        } finally {
+            program.destroyForcibly().waitFor();
+        }
     }
 
-    private static void await(BufferedReader log, String text) throws Exception {
-        for (String line = log.readLine(); !line.contains(text);) {
+    private static String await(BufferedReader log, String text) throws Exception {
+        String line = log.readLine();
+        while (!line.contains(text)) {
             line = log.readLine();
         }
+        return line;
     }
 
     @Test void aStopAnswersWhatWasTakenAndThenClosesItsClients() throws Exception {
--- a/pooler/src/test/java/frostreel/Stage.java
+++ b/pooler/src/test/java/frostreel/Stage.java
@@ -187,6 +187,8 @@
     static final byte[] READY = bytes('Z', new byte[] {'I'});
     final List<Peer> peers = new ArrayList<>();
     final BlockingQueue<String> lists = new LinkedBlockingQueue<>();
+    /** One for each list that discovery has written. */
+    final BlockingQueue<String> told = new LinkedBlockingQueue<>();
     final Peer discovery;
     Pooler pooler;
     OperatorSettings operators = OperatorSettings.DEFAULT;
@@ -202,6 +204,7 @@
                 byte[] body = lists.take().getBytes(StandardCharsets.UTF_8);
                 link.send(("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes(
                         StandardCharsets.UTF_8), body);
+                told.add("told");
             } catch (InterruptedException e) {
                 throw new IOException(e);
             }
