Start real processes of the program in the lab, with a relay on every way and faults between

Need: the users care most for how many processes behave together when parts fail; virtual time has no starts, kernel buffers, pauses or signals.

Change: lab.standin puts the lab's one model behind PostgreSQL sockets and an HTTP discovery; lab.processes starts N processes on 127.x.y.z, with a link on every way that cuts (each way), delays, slows and resets, and faults by time from an XML file: SIGKILL, SIGTERM, SIGSTOP, servers that crash, vanish and drain. `processes FILE.xml` prints checks and a verdict as `run` does, and keeps story, tables and chart.

Open: faults from a seed, links between poolers, older operators' files at a restart (docs/design/lab.md).

--- a/lab/src/main/java/frostreel/lab/cli/Main.java
+++ b/lab/src/main/java/frostreel/lab/cli/Main.java
@@ -1,16 +1,20 @@
 package frostreel.lab.cli;
 
+import frostreel.log.Logging;
+import java.util.logging.Level;
 import picocli.CommandLine;
 import picocli.CommandLine.Command;
 
 /** The lab's command line. */
 @Command(name = "frostreel-lab", description = "Plays experiments with whole fleets.",
         mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
-        subcommands = {Run.class, Compare.class})
+        subcommands = {Run.class, Processes.class, Compare.class})
 public final class Main {
     private Main() {}
 
     public static void main(String[] args) {
+        Logging.install(); // Before any library asks for a logger.
+        Logging.configure(Logging.Format.TEXT, Level.WARNING);
         System.exit(commandLine().execute(args));
     }
 
--- /dev/null
+++ b/lab/src/main/java/frostreel/lab/processes/ClientTap.java
@@ -0,0 +1,104 @@
+package frostreel.lab.processes;
+
+import frostreel.broker.Clock;
+import frostreel.lab.rules.Witness;
+import frostreel.lab.rules.Witness.Answer;
+import frostreel.pg.MessageReader;
+import frostreel.pg.PgException;
+import frostreel.pg.Statement;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Map;
+import willowfield.Router;
+
+/** Tells of the requests on one connection of a client, as the pooler sees them: taken, and answered. */
+final class ClientTap implements Link.Tap {
+    private static final int MOST_BYTES = 1 << 18;
+    private final Clock clock;
+    private final int pooler;
+    private final Map<String, Router.RequestClass> classes;
+    private final Witness witness;
+    private final MessageReader heard = new MessageReader(type -> MOST_BYTES);
+    private final MessageReader said = new MessageReader(type -> MOST_BYTES);
+    /** Queries not yet answered, by their ids; empty for what is none of a class. */
+    private final ArrayDeque<String> open = new ArrayDeque<>();
+    private boolean started;
+    private boolean welcomed;
+    private Answer answer;
+
+    ClientTap(Clock clock, int pooler, Map<String, Router.RequestClass> classes, Witness witness) {
+        this.clock = clock;
+        this.pooler = pooler;
+        this.classes = classes;
+        this.witness = witness;
+    }
+
+    @Override public void hears(byte[] bytes) {
+        heard.feed(ByteBuffer.wrap(bytes));
+        try {
+            while (started ? heard.next() : heard.nextStartup()) {
+                if (started && heard.type() == 'Q') {
+                    taken(heard.body());
+                }
+                started = true;
+            }
+        } catch (PgException e) {
+            throw new IllegalStateException("the load wrote what is no message: " + e.getMessage(), e);
+        }
+    }
+
+    private void taken(byte[] sql) {
+        try {
+            Statement s = Statement.parse(sql);
+            open.add(s.id());
+            witness.asked(clock.now(), pooler, s.id(), classes.get(s.requestClass()),
+                    clock.now() + s.patienceMs() * 1000);
+        } catch (PgException e) {
+            open.add(""); // An empty query, or a page.
+        }
+    }
+
+    @Override public void says(byte[] bytes) {
+        said.feed(ByteBuffer.wrap(bytes));
+        try {
+            while (said.next()) {
+                switch (said.type()) {
+                    case 'C' -> answer = Answer.SERVED;
+                    case 'E' -> answer = refusal(said.body()) ? Answer.REFUSED : Answer.FAILED;
+                    case 'Z' -> answered();
+                    default -> { }
+                }
+            }
+        } catch (PgException e) {
+            throw new IllegalStateException("a pooler wrote what is no message: " + e.getMessage(), e);
+        }
+    }
+
+    static boolean refusal(byte[] error) {
+        String fields = new String(error, StandardCharsets.UTF_8);
+        return fields.contains("\0C53300\0") || fields.contains("\0C57P03\0");
+    }
+
+    private void answered() {
+        if (!welcomed) {
+            welcomed = true;
+            return;
+        }
+        String id = open.poll();
+        if (id != null && !id.isEmpty()) {
+            witness.answered(clock.now(), pooler, id, answer == null ? Answer.FAILED : answer);
+        }
+        answer = null;
+    }
+
+    /** After a fatal error no ReadyForQuery comes; a request that the pooler leaves otherwise is lost. */
+    @Override public void ended(boolean byIt) {
+        if (answer != null) {
+            answered();
+        }
+        if (!byIt) {
+            open.stream().filter(id -> !id.isEmpty()).forEach(id -> witness.excused(clock.now(), id));
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/frostreel/lab/processes/Fleet.java
@@ -0,0 +1,353 @@
+package frostreel.lab.processes;
+
+import frostreel.lab.model.Cluster;
+import frostreel.lab.model.Kernel;
+import frostreel.lab.model.Server;
+import frostreel.lab.rules.RuleBook;
+import frostreel.lab.standin.Database;
+import frostreel.lab.standin.Discovery;
+import frostreel.lab.standin.RealTime;
+import frostreel.lab.virtual.Plan;
+import frostreel.net.Loop;
+import frostreel.pg.Statement;
+import java.io.IOException;
+import java.io.UncheckedIOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.SplittableRandom;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.function.Consumer;
+import willowfield.Router;
+
+/**
+ * Real processes of the program between stand-ins of all that they speak to, with a link on every way. Owns
+ * the processes, ports and links, and ends them all. Everything but the processes runs on one loop; methods
+ * not marked otherwise are called on it.
+ */
+final class Fleet {
+    /** What a pooler speaks to. */
+    enum Side { CLIENTS, SERVERS, DISCOVERY }
+
+    private static final int SOCKETS = 512;
+    private static final int FIRST_HOST = 10;
+    private final Plan plan;
+    private final Path folder;
+    private final Loop loop = new Loop();
+    private final Kernel kernel = new RealTime(loop);
+    private final SplittableRandom chance;
+    private final RuleBook rules;
+    private final Map<String, Router.RequestClass> classes = new HashMap<>();
+    private final List<Pooler> poolers = new ArrayList<>();
+    private final Map<String, Database> databases = new LinkedHashMap<>();
+    private final Map<String, Long> bornUs = new HashMap<>();
+    private final List<String> story = new ArrayList<>();
+    private Cluster cluster;
+    private Load load;
+    private long beganUs;
+    private boolean ending;
+    private final AtomicBoolean ended = new AtomicBoolean();
+
+    /** A pooler's process, with its agent and its links to all sides. */
+    private final class Pooler {
+        final PoolerProcess process;
+        final Discovery agent;
+        final Map<Side, List<Link>> links = new HashMap<>();
+        final Map<String, String> dials = new HashMap<>();
+        final long seed = chance.nextLong();
+        boolean wanted;
+
+        Pooler(int number, String host, Path jar) throws IOException {
+            InetSocketAddress any = new InetSocketAddress(host, 0);
+            process = new PoolerProcess(number, free(host), jar, folder);
+            List<Link> servers = new ArrayList<>();
+            for (Map.Entry<String, Database> d : databases.entrySet()) {
+                Link link = new Link(loop, any, d.getValue()::address, true,
+                        () -> new StatementTap(loop.clock(), number, d.getKey(), classes, rules));
+                servers.add(link);
+                dials.put(d.getKey(), PoolerProcess.text(link.address()));
+            }
+            agent = new Discovery(loop, kernel, cluster, dials::get, any);
+            links.put(Side.SERVERS, servers);
+            links.put(Side.DISCOVERY, List.of(new Link(loop, any, agent::address, true,
+                    () -> new ListTap(loop.clock(), number, rules))));
+            links.put(Side.CLIENTS, List.of(new Link(loop, any, () -> process.listen, false,
+                    () -> new ClientTap(loop.clock(), number, classes, rules))));
+        }
+
+        void start() {
+            wanted = true;
+            try {
+                process.start(PlatformConfig.of(plan.settings(process.number % plan.zones(), seed),
+                        plan.zones(), agent.whole(), SOCKETS),
+                        PoolerProcess.text(links.get(Side.DISCOVERY).get(0).address()));
+            } catch (IOException e) {
+                throw new UncheckedIOException(e);
+            }
+        }
+    }
+
+    /** Nothing runs yet; {@code folder} takes configurations and logs, {@code slackUs} eases the rules. */
+    Fleet(Plan plan, int poolerCount, Path jar, Path folder, long slackUs) throws Exception {
+        this.plan = plan;
+        this.folder = folder;
+        SplittableRandom seeds = new SplittableRandom(plan.seed());
+        chance = seeds.split();
+        Router.Settings told = plan.settings(0, 0);
+        told.classes().forEach(c -> classes.put(c.name(), c));
+        Router.Rules r = told.rules();
+        rules = new RuleBook(told.limits(), new Router.Rules(r.answerSlackUs() + slackUs,
+                r.stopSendingUs() + slackUs, r.onlyDrainingBinds(), r.coldFrom(), r.warmAfterUs(),
+                r.fallMultiple(), r.fallUs()));
+        onLoop(() -> {
+            build(poolerCount, jar);
+            return null;
+        });
+    }
+
+    interface Task<T> {
+        T run() throws IOException;
+    }
+
+    /** Runs on the loop, from any other thread, and waits. */
+    <T> T onLoop(Task<T> task) throws Exception {
+        CompletableFuture<T> done = new CompletableFuture<>();
+        loop.thread().execute(() -> {
+            try {
+                done.complete(task.run());
+            } catch (IOException | RuntimeException e) {
+                done.completeExceptionally(e);
+            }
+        });
+        return done.get();
+    }
+
+    private void build(int count, Path jar) throws IOException {
+        // Of this process alone, so that runs side by side never meet.
+        long pid = ProcessHandle.current().pid();
+        String net = "127." + (1 + pid % 250) + "." + pid / 250 % 250 + ".";
+        cluster = new Cluster(kernel, chance, plan.zones(), plan.groups(), plan.cores(), this::changed);
+        for (Server s : cluster.all()) {
+            bornUs.put(s.id, 0L);
+            databases.put(s.id, new Database(loop, kernel, s, orders(), () -> fell(s),
+                    new InetSocketAddress(net + 1, 0)));
+        }
+        for (int i = 0; i < count; i++) {
+            poolers.add(new Pooler(i, net + (FIRST_HOST + i), jar));
+        }
+        load = new Load(loop, chance.split(), poolers.stream().map(p -> p.links.get(Side.CLIENTS).get(0)
+                .address()).toList(), plan.groups(), plan.load(), plan.clientRetries(),
+                (int) (plan.durationUs() / 1_000_000));
+    }
+
+    /** A port that nobody has now; a pooler keeps it over all its lives. */
+    private static InetSocketAddress free(String host) throws IOException {
+        try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(host))) {
+            return new InetSocketAddress(host, s.getLocalPort());
+        }
+    }
+
+    /** Work by class, drawn; freshness is the pooler's to ask for by class and position. */
+    private Database.Orders orders() {
+        return new Database.Orders() {
+            @Override public double workUs(Statement s) {
+                for (Plan.Kind k : Plan.KINDS) {
+                    if (k.c().name().equals(s.requestClass())) {
+                        return k.leastUs() + chance.nextDouble() * (k.mostUs() - k.leastUs());
+                    }
+                }
+                throw new IllegalArgumentException("no class " + s.requestClass());
+            }
+
+            @Override public long needUs(Statement s, long nowUs) {
+                Router.RequestClass c = classes.get(s.requestClass());
+                return s.write() ? 0 : c.boundUs() > 0 ? nowUs - c.boundUs() : s.afterMs() * 1000;
+            }
+        };
+    }
+
+    private void fell(Server s) {
+        tell("server " + s.id + " fell over");
+        rules.fell(kernel.now(), s.id);
+        databases.get(s.id).resetAll();
+    }
+
+    /** The list has news of a server; each agent hears it late, and a little apart. */
+    private void changed(Server s) {
+        boolean restarted = bornUs.put(s.id, s.bornUs()) != s.bornUs();
+        if (restarted || !s.up() && !s.vanished()) {
+            databases.get(s.id).resetAll();
+        }
+        Router.Member entry = Cluster.entry(s);
+        tell("server " + s.id + " is " + entry.state() + (entry.primary() ? ", primary" : ""));
+        for (Pooler p : poolers) {
+            kernel.after(plan.listLagUs() + chance.nextLong(50_000), () -> p.agent.hears(entry));
+        }
+    }
+
+    private void tell(String what) {
+        story.add(String.format(Locale.ROOT, "%8.3f s  %s", (kernel.now() - beganUs) / 1e6, what));
+    }
+
+    // ---- From the conductor's thread: begin, wait, end. ----
+
+    /** Starts every pooler, and returns when all are in. */
+    void start() throws Exception {
+        List<CompletableFuture<Void>> in = new ArrayList<>();
+        onLoop(() -> {
+            beganUs = kernel.now();
+            for (Pooler p : poolers) {
+                CompletableFuture<Void> one = new CompletableFuture<>();
+                in.add(one);
+                p.start();
+                load.await(p.process.number, () -> one.complete(null));
+            }
+            return null;
+        });
+        CompletableFuture.allOf(in.toArray(CompletableFuture[]::new)).get();
+    }
+
+    /** Clients ask from now on, and what was set by {@link #at} counts from now. */
+    void begin(List<Consumer<Fleet>> faults) throws Exception {
+        onLoop(() -> {
+            beganUs = kernel.now();
+            faults.forEach(f -> f.accept(this));
+            load.begin();
+            return null;
+        });
+    }
+
+    /** What has been answered is all there is: judges what is still open. */
+    void judge() throws Exception {
+        onLoop(() -> {
+            rules.end(kernel.now());
+            return null;
+        });
+    }
+
+    // ---- Faults. ----
+
+    void at(long us, Runnable what) {
+        kernel.after(beganUs + us - kernel.now(), () -> {
+            if (!ending) {
+                what.run();
+            }
+        });
+    }
+
+    /** SIGKILL, and a new life later; {@code in} runs once the new life has been taken in. */
+    void kill(int pooler, long awayUs, Runnable in) {
+        Pooler p = poolers.get(pooler);
+        tell(p.process.name() + " is killed");
+        rules.died(kernel.now(), pooler);
+        p.wanted = false;
+        p.process.kill();
+        kernel.after(awayUs, () -> restart(p, in));
+    }
+
+    /** SIGTERM, and a new life after its end. */
+    void stop(int pooler, long awayUs, Runnable in) {
+        Pooler p = poolers.get(pooler);
+        tell(p.process.name() + " is told to stop");
+        p.wanted = false;
+        p.process.terminate(() -> loop.thread().execute(() -> {
+            tell(p.process.name() + " has ended");
+            kernel.after(awayUs, () -> restart(p, in));
+        }));
+    }
+
+    private void restart(Pooler p, Runnable in) {
+        if (ending) {
+            return;
+        }
+        tell(p.process.name() + " starts again");
+        p.start();
+        load.await(p.process.number, () -> {
+            tell(p.process.name() + " is in");
+            in.run();
+        });
+    }
+
+    /** SIGSTOP or SIGCONT; what a paused pooler could not answer, nobody is owed. */
+    void pause(int pooler, boolean paused) {
+        Pooler p = poolers.get(pooler);
+        tell(p.process.name() + (paused ? " is paused" : " goes on"));
+        try {
+            p.process.signal(paused ? "STOP" : "CONT");
+        } catch (IOException e) {
+            throw new UncheckedIOException(e);
+        }
+        rules.paused(kernel.now(), pooler, paused);
+    }
+
+    /** {@code in}: what the pooler hears, {@code out}: what it says. */
+    void cut(int pooler, Side side, boolean in, boolean out) {
+        tell("p" + pooler + " to " + side + ": in " + (in ? "cut" : "open") + ", out "
+                + (out ? "cut" : "open"));
+        boolean near = side != Side.CLIENTS;
+        links(pooler, side).forEach(l -> l.cut(near ? out : in, near ? in : out));
+    }
+
+    List<Link> links(int pooler, Side side) {
+        return poolers.get(pooler).links.get(side);
+    }
+
+    Cluster cluster() {
+        return cluster;
+    }
+
+    Server server(int number) {
+        return List.copyOf(cluster.all()).get(number);
+    }
+
+    // ---- What it showed. ----
+
+    Load load() {
+        return load;
+    }
+
+    RuleBook rules() {
+        return rules;
+    }
+
+    List<String> story() {
+        return story;
+    }
+
+    /** Processes that ended though nobody ended them. */
+    List<String> crashed() {
+        return poolers.stream().filter(p -> p.wanted && !p.process.alive()).map(p -> p.process.name())
+                .toList();
+    }
+
+    /** Ends every process, port and connection; from any thread but the loop's, and as often as one likes. */
+    void end() throws Exception {
+        if (ended.getAndSet(true)) {
+            return;
+        }
+        onLoop(() -> {
+            ending = true;
+            return null;
+        });
+        for (Pooler p : poolers) {
+            p.process.end();
+        }
+        onLoop(() -> {
+            for (Pooler p : poolers) {
+                p.links.values().forEach(links -> links.forEach(Link::close));
+                p.agent.close();
+            }
+            databases.values().forEach(Database::close);
+            return null;
+        });
+        loop.end();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/frostreel/lab/processes/ProcessExperiment.java
@@ -0,0 +1,176 @@
+package frostreel.lab.processes;
+
+import frostreel.lab.virtual.Plan;
+import frostreel.settings.Fault;
+import frostreel.settings.FaultyFileException;
+import frostreel.settings.XmlElement;
+import frostreel.settings.XmlFile;
+import java.net.URL;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.function.Consumer;
+
+/** An experiment with processes, read against its schema and checked for sense. */
+public final class ProcessExperiment {
+    /** A bound on what a run showed; seconds are read for worth alone. */
+    record Check(String kind, int fromS, int toS, double bound) {}
+
+    private static final URL SCHEMA = ProcessExperiment.class.getResource("processes.xsd");
+    private final String file;
+    private final String name;
+    private final long seed;
+    private final int durationS;
+    private final XmlElement fleet;
+    private final XmlElement clients;
+    private final List<Consumer<Fleet>> faults = new ArrayList<>();
+    private final List<Check> checks = new ArrayList<>();
+    private long slackUs;
+
+    private ProcessExperiment(String file, XmlElement root, List<Fault> wrong) {
+        this.file = file;
+        name = root.text("name");
+        seed = root.whole("seed");
+        durationS = (int) root.whole("durationS");
+        fleet = root.child("fleet");
+        clients = root.child("clients");
+        root.child("faults").children().forEach(f -> fault(f, wrong));
+        root.child("checks").children().forEach(c -> check(c, wrong));
+    }
+
+    /** Reads a file that anyone may have written. */
+    public static ProcessExperiment read(Path file) throws FaultyFileException {
+        List<Fault> wrong = new ArrayList<>();
+        ProcessExperiment read = new ProcessExperiment(file.toString(), XmlFile.read(file, SCHEMA), wrong);
+        if (!wrong.isEmpty()) {
+            throw new FaultyFileException(wrong);
+        }
+        return read;
+    }
+
+    private int numbered(XmlElement e, String attribute, long count, List<Fault> wrong) {
+        long n = e.whole(attribute);
+        if (n >= count) {
+            wrong.add(e.fault(file, attribute, "there is no " + attribute + " " + n + "; the first is 0"));
+        }
+        return (int) n;
+    }
+
+    private void fault(XmlElement e, List<Fault> wrong) {
+        long atUs = e.seconds("atS");
+        if (e.number("atS") >= durationS) {
+            wrong.add(e.fault(file, "atS", "the run is over then"));
+        }
+        long untilUs = e.has("untilS") ? e.seconds("untilS") : 0;
+        if (e.has("untilS") && untilUs <= atUs) {
+            wrong.add(e.fault(file, "untilS", "is not after atS"));
+        }
+        if (e.has("server")) {
+            serverFault(e, numbered(e, "server", fleet.whole("zones") * fleet.whole("groups"), wrong), atUs,
+                    untilUs);
+            return;
+        }
+        int pooler = numbered(e, "pooler", fleet.whole("poolers"), wrong);
+        switch (e.name()) {
+            case "kill" -> faults.add(f -> f.at(atUs, () -> f.kill(pooler, e.seconds("awayS"), () -> { })));
+            case "stop" -> faults.add(f -> f.at(atUs, () -> f.stop(pooler, e.seconds("awayS"), () -> { })));
+            case "pause" -> between(atUs, untilUs, f -> f.pause(pooler, true), f -> f.pause(pooler, false));
+            default -> linkFault(e, pooler, atUs, untilUs);
+        }
+    }
+
+    private void between(long atUs, long untilUs, Consumer<Fleet> begin, Consumer<Fleet> end) {
+        faults.add(f -> {
+            f.at(atUs, () -> begin.accept(f));
+            f.at(untilUs, () -> end.accept(f));
+        });
+    }
+
+    private void linkFault(XmlElement e, int pooler, long atUs, long untilUs) {
+        Fleet.Side side = Fleet.Side.valueOf(e.text("to").toUpperCase(Locale.ROOT));
+        switch (e.name()) {
+            case "cut" -> {
+                boolean in = !e.text("way").equals("out");
+                boolean out = !e.text("way").equals("in");
+                between(atUs, untilUs, f -> f.cut(pooler, side, in, out),
+                        f -> f.cut(pooler, side, false, false));
+            }
+            case "delay" -> {
+                long us = e.ms("ms");
+                between(atUs, untilUs, f -> f.links(pooler, side).forEach(l -> l.delay(us)),
+                        f -> f.links(pooler, side).forEach(l -> l.delay(0)));
+            }
+            case "slow" -> {
+                long bytes = e.whole("bytesPerS");
+                between(atUs, untilUs, f -> f.links(pooler, side).forEach(l -> l.slow(bytes)),
+                        f -> f.links(pooler, side).forEach(l -> l.slow(0)));
+            }
+            default -> faults.add(f -> f.at(atUs, () -> f.links(pooler, side).forEach(Link::reset)));
+        }
+    }
+
+    private void serverFault(XmlElement e, int server, long atUs, long untilUs) {
+        Consumer<Fleet> begin = switch (e.name()) {
+            case "crashServer" -> f -> f.cluster().crash(f.server(server));
+            case "loseServer" -> f -> f.cluster().vanish(f.server(server));
+            default -> f -> f.cluster().drain(f.server(server));
+        };
+        between(atUs, untilUs, begin, f -> f.cluster().start(f.server(server)));
+    }
+
+    private void check(XmlElement e, List<Fault> wrong) {
+        switch (e.name()) {
+            case "rules" -> {
+                slackUs = e.ms("slackMs");
+                checks.add(new Check("rules", 0, 0, 0));
+            }
+            case "worth" -> {
+                int from = (int) e.whole("fromS");
+                int to = (int) e.whole("toS");
+                if (to <= from || to > durationS) {
+                    wrong.add(e.fault(file, "toS", "is not after fromS and within the run"));
+                }
+                checks.add(new Check("worth", from, to, e.number("atLeast")));
+            }
+            default -> checks.add(new Check(e.name(), 0, 0, e.number("atMost")));
+        }
+    }
+
+    public String name() {
+        return name;
+    }
+
+    /** The seed, where the call names none. */
+    public long seed() {
+        return seed;
+    }
+
+    int poolers() {
+        return (int) fleet.whole("poolers");
+    }
+
+    int durationS() {
+        return durationS;
+    }
+
+    long slackUs() {
+        return slackUs;
+    }
+
+    List<Consumer<Fleet>> faults() {
+        return faults;
+    }
+
+    List<Check> checks() {
+        return checks;
+    }
+
+    /** Its load is in requests a second; there are as many poolers a zone as go round. */
+    Plan plan(long withSeed) {
+        int zones = (int) fleet.whole("zones");
+        return new Plan(withSeed, zones, (poolers() + zones - 1) / zones, (int) fleet.whole("groups"),
+                (int) fleet.whole("cores"), clients.number("perSecond"), fleet.seconds("listLagS"),
+                durationS * 1_000_000L, clients.flag("retry"));
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/frostreel/lab/processes/StatementTap.java
@@ -0,0 +1,103 @@
+package frostreel.lab.processes;
+
+import frostreel.broker.BackEnd;
+import frostreel.broker.Clock;
+import frostreel.lab.rules.Witness;
+import frostreel.pg.MessageReader;
+import frostreel.pg.PgException;
+import frostreel.pg.Reply;
+import frostreel.pg.Statement;
+import java.nio.ByteBuffer;
+import java.util.Map;
+import willowfield.Router;
+import willowfield.Router.Outcome;
+
+/** Tells of the attempts on one connection from a pooler to a server, as that pooler sees them. */
+final class StatementTap implements Link.Tap {
+    private static final int MOST_BYTES = 1 << 18;
+    private final Clock clock;
+    private final int pooler;
+    private final String server;
+    private final Map<String, Router.RequestClass> classes;
+    private final Witness witness;
+    private final MessageReader said = new MessageReader(type -> MOST_BYTES);
+    private final MessageReader heard = new MessageReader(Reply::longest);
+    private boolean started;
+    private Reply reply = Reply.toStartup();
+    /** What is out, null for nothing or a probe; its first byte's time and its last's. */
+    private Statement out;
+    private long firstUs;
+    private long lastUs;
+
+    StatementTap(Clock clock, int pooler, String server, Map<String, Router.RequestClass> classes,
+            Witness witness) {
+        this.clock = clock;
+        this.pooler = pooler;
+        this.server = server;
+        this.classes = classes;
+        this.witness = witness;
+    }
+
+    @Override public void says(byte[] bytes) {
+        firstUs = said.buffered() == 0 ? clock.now() : firstUs;
+        said.feed(ByteBuffer.wrap(bytes));
+        try {
+            while (started ? said.next() : said.nextStartup()) {
+                if (started && said.type() == 'Q') {
+                    reply = Reply.toQuery();
+                    begin(said.body());
+                }
+                started = true;
+            }
+        } catch (PgException e) {
+            throw new IllegalStateException("a pooler wrote what is no message: " + e.getMessage(), e);
+        }
+    }
+
+    private void begin(byte[] sql) {
+        try {
+            out = Statement.parse(sql);
+            lastUs = clock.now();
+            witness.sent(firstUs, pooler, out.id(), server);
+        } catch (PgException e) {
+            out = null; // A probe.
+        }
+    }
+
+    @Override public void hears(byte[] bytes) {
+        heard.feed(ByteBuffer.wrap(bytes));
+        try {
+            while (heard.next()) {
+                reply.accept(heard);
+                if (reply.ended() && out != null) {
+                    over(reply.result(false));
+                }
+            }
+        } catch (PgException e) {
+            throw new IllegalStateException("a stand-in wrote what is no answer: " + e.getMessage(), e);
+        }
+    }
+
+    private void over(BackEnd.Result result) {
+        Statement s = out;
+        out = null;
+        Outcome o = result.outcome();
+        witness.ended(clock.now(), pooler, s.id(), o, o != Outcome.OK && !o.provesNotRun);
+        Router.RequestClass c = classes.get(s.requestClass());
+        if (o == Outcome.OK && !s.write() && c != null) {
+            long positionUs = result.role() == Router.Role.PRIMARY ? clock.now() : result.positionUs();
+            witness.read(clock.now(), s.id(), positionUs, switch (c.access()) {
+                case BOUNDED -> lastUs - c.boundUs();
+                case SESSION -> s.afterMs() * 1000;
+                default -> 0;
+            });
+        }
+    }
+
+    @Override public void ended(boolean byIt) {
+        if (out != null) {
+            witness.ended(clock.now(), pooler, out.id(), byIt ? Outcome.TIMEOUT : Outcome.RESET, true);
+            out = null;
+        }
+    }
+}
--- a/lab/src/main/java/frostreel/lab/rules/Witness.java
+++ b/lab/src/main/java/frostreel/lab/rules/Witness.java
@@ -27,6 +27,15 @@
     /** A cold server was sent more than it could take. */
     default void fell(long nowUs, String server) {}
 
+    /** A request's client went away, or its pooler could not run: nobody is owed its answer any more. */
+    default void excused(long nowUs, String id) {}
+
+    /** A pooler's process was killed: what it had taken, sent and been told is gone with it. */
+    default void died(long nowUs, int pooler) {}
+
+    /** A pooler's process was stopped, or goes on: nobody is owed what it could not do meanwhile. */
+    default void paused(long nowUs, int pooler, boolean isPaused) {}
+
     /** How a request was answered. */
     enum Answer { SERVED, REFUSED, FAILED }
 }
--- /dev/null
+++ b/lab/src/main/java/frostreel/lab/standin/Database.java
@@ -0,0 +1,186 @@
+package frostreel.lab.standin;
+
+import frostreel.lab.model.Kernel;
+import frostreel.lab.model.Server;
+import frostreel.net.Loop;
+import frostreel.net.Stream;
+import frostreel.pg.MessageReader;
+import frostreel.pg.Messages;
+import frostreel.pg.PgException;
+import frostreel.pg.Statement;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Set;
+import org.xnio.StreamConnection;
+import willowfield.Router.Outcome;
+import willowfield.Router.Role;
+
+/** A server of the model behind PostgreSQL's protocol: the part of it that poolers speak to servers. */
+public final class Database {
+    /** What statements cost and need; the stand-in asks, as a statement's comment does not tell. */
+    public interface Orders {
+        /** Microseconds of a core of speed 1. */
+        double workUs(Statement statement);
+
+        /** The position that a read sent now has to see, 0 for any. */
+        long needUs(Statement statement, long nowUs);
+    }
+
+    private static final int MOST_BYTES = 1 << 18;
+    private static final byte[] SHOW_LOAD = "SHOW load\0".getBytes(StandardCharsets.US_ASCII);
+    private final Loop loop;
+    private final Kernel kernel;
+    private final Server server;
+    private final Orders orders;
+    private final Runnable fell;
+    private final Set<Session> sessions = new HashSet<>();
+    private final Port port;
+
+    /** {@code fell} hears that the server was sent more than it could take while cold. */
+    public Database(Loop loop, Kernel kernel, Server server, Orders orders, Runnable fell,
+            InetSocketAddress at) throws IOException {
+        this.fell = fell;
+        this.loop = loop;
+        this.kernel = kernel;
+        this.server = server;
+        this.orders = orders;
+        port = new Port(loop, at, Session::new);
+    }
+
+    public InetSocketAddress address() {
+        return port.address();
+    }
+
+    public void close() {
+        port.close();
+        resetAll();
+    }
+
+    /** Its process ended: its connections end with it, and what the model held is over. */
+    public void resetAll() {
+        List.copyOf(sessions).forEach(Session::close);
+    }
+
+    /** One connection. */
+    private final class Session implements Stream.Handler {
+        private final Stream stream;
+        private final MessageReader reader = new MessageReader(type -> MOST_BYTES);
+        private boolean welcomed;
+        private Server.Job job;
+
+        Session(StreamConnection connection) {
+            stream = new Stream(loop, connection, this);
+            if (!server.up() && !server.vanished()) {
+                stream.close(); // No process, no connection.
+                return;
+            }
+            sessions.add(this);
+            stream.resumeReads();
+        }
+
+        @Override public void received(ByteBuffer in) {
+            reader.feed(in);
+            if (server.vanished()) {
+                return;
+            }
+            try {
+                while (job == null && (welcomed ? reader.next() : reader.nextStartup())) {
+                    if (!welcomed) {
+                        welcomed = true;
+                        stream.write(Messages.welcome());
+                    } else if (reader.type() == 'Q') {
+                        query(reader.body());
+                    } else {
+                        close(); // Terminate, or what no pooler sends.
+                        return;
+                    }
+                }
+            } catch (PgException e) {
+                stream.write(Messages.error(true, Messages.PROTOCOL_VIOLATION, e.getMessage(), null));
+                close();
+            }
+        }
+
+        private void query(byte[] sql) throws PgException {
+            if (Arrays.equals(sql, SHOW_LOAD)) {
+                answer(Messages.row("load", load()));
+                return;
+            }
+            Statement s = Statement.parse(sql);
+            // It is held before it arrives: a server may answer, or fall over, at once.
+            Server.Job[] made = new Server.Job[1];
+            made[0] = new Server.Job(orders.workUs(s), s.write(), orders.needUs(s, kernel.now()),
+                    (outcome, role, positionUs, util) -> {
+                        if (job == made[0]) {
+                            job = null;
+                            ended(s, outcome, role, positionUs);
+                        }
+                    });
+            job = made[0];
+            boolean fallen = server.fallen();
+            server.arrive(job);
+            if (server.fallen() && !fallen) {
+                fell.run();
+            }
+        }
+
+        private void ended(Statement s, Outcome outcome, Role role, long positionUs) {
+            switch (outcome) {
+                case OK -> answer(Messages.row("v", s.id()), parameter("role", role == Role.PRIMARY
+                        ? "primary" : "replica"), parameter("applied_ms", Long.toString(positionUs / 1000)),
+                        parameter("load", load()));
+                case MISS -> answer(Messages.error(false, s.write() ? "25006" : "72000", "not here", null),
+                        parameter("role", role == Role.PRIMARY ? "primary" : "replica"),
+                        parameter("applied_ms", Long.toString(positionUs / 1000)));
+                case FULL -> answer(Messages.error(false, Messages.REFUSED, "no room", null));
+                case ERROR -> answer(Messages.error(false, "XX000", "it failed here", null));
+                default -> close();
+            }
+            if (job == null && welcomed) {
+                received(ByteBuffer.allocate(0)); // What came behind it.
+            }
+        }
+
+        private void answer(byte[]... parts) {
+            ByteArrayOutputStream all = new ByteArrayOutputStream();
+            for (byte[] part : parts) {
+                all.writeBytes(part);
+            }
+            all.writeBytes(Messages.readyForQuery());
+            stream.write(all.toByteArray());
+        }
+
+        @Override public void ended() {
+            close();
+        }
+
+        void close() {
+            if (sessions.remove(this)) {
+                Server.Job over = job;
+                job = null;
+                if (over != null) {
+                    server.cancel(over);
+                }
+                stream.close();
+            }
+        }
+    }
+
+    private String load() {
+        return String.format(Locale.ROOT, "x0=%.6f,x1=%d,load_share=%.3f", server.applied() / 1e6,
+                server.primary() ? 1 : 0, server.util());
+    }
+
+    /** A ParameterStatus message. */
+    private static byte[] parameter(String name, String value) {
+        byte[] text = (name + "\0" + value + "\0").getBytes(StandardCharsets.UTF_8);
+        return ByteBuffer.allocate(text.length + 5).put((byte) 'S').putInt(text.length + 4).put(text).array();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/frostreel/lab/standin/RealTime.java
@@ -0,0 +1,21 @@
+package frostreel.lab.standin;
+
+import frostreel.lab.model.Kernel;
+import frostreel.net.Loop;
+
+/** The model's time on sockets: the loop's clock and deadlines, on the loop's one thread. */
+public final class RealTime implements Kernel {
+    private final Loop loop;
+
+    public RealTime(Loop loop) {
+        this.loop = loop;
+    }
+
+    @Override public long now() {
+        return loop.clock().now();
+    }
+
+    @Override public void after(long us, Runnable task) {
+        loop.deadlines().after(us, task);
+    }
+}
--- a/lab/src/main/java/frostreel/lab/virtual/Plan.java
+++ b/lab/src/main/java/frostreel/lab/virtual/Plan.java
@@ -15,14 +15,14 @@
         long listLagUs,
         long durationUs, boolean clientRetries) {
     /** A class of requests: its part of all, and its work in microseconds of a core. */
-    record Kind(Router.RequestClass c, double share, double leastUs, double mostUs) {
+    public record Kind(Router.RequestClass c, double share, double leastUs, double mostUs) {
         double meanUs() {
             return (leastUs + mostUs) / 2;
         }
     }
 
     /** The classes of a billing site: what they need, and by when. */
-    static final List<Kind> KINDS = List.of(
+    public static final List<Kind> KINDS = List.of(
             kind("account-view", Router.Access.BOUNDED, 300, 1_000, 2, 0, 0.42, 27, 47),
             kind("history-lookup", Router.Access.ANY, 200, 600, 3, 0.2, 0.34, 27, 47),
             kind("arrears-report", Router.Access.ANY, 4_000, 8_000, 6, 0.2, 0.02, 450, 780),
@@ -39,7 +39,7 @@
     }
 
     /** What a pooler of a zone is told. */
-    Router.Settings settings(int zone, long poolerSeed) {
+    public Router.Settings settings(int zone, long poolerSeed) {
         return new Router.Settings(poolerSeed, zones * poolersPerZone, zone, 1_000,
                 KINDS.stream().map(Kind::c).toList(), Router.Checks.REFUSE, Router.ListRole.LATE,
                 Router.Marks.CARRIED, true,
--- /dev/null
+++ b/lab/src/test/java/frostreel/lab/processes/TapsTest.java
@@ -0,0 +1,175 @@
+package frostreel.lab.processes;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import frostreel.lab.rules.Rule;
+import frostreel.lab.rules.RuleBook;
+import frostreel.lab.virtual.Plan;
+import frostreel.pg.Messages;
+import java.io.ByteArrayOutputStream;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.junit.jupiter.api.Test;
+import willowfield.Router;
+
+/** What is seen of sockets convicts as what is seen in virtual time does; one case for each rule. */
+class TapsTest {
+    private static final Router.Settings SETTINGS = new Plan(1, 1, 1, 1, 1, 1, 0, 1_000_000, false)
+            .settings(0, 0);
+    private static final Map<String, Router.RequestClass> CLASSES = SETTINGS.classes().stream()
+            .collect(Collectors.toMap(Router.RequestClass::name, c -> c));
+    private static final byte[] REFUSED = with(Messages.error(false, "53300", "no", null));
+    private long nowUs = 1_700_000_000_000_000L;
+    private final RuleBook book = new RuleBook(SETTINGS.limits(), SETTINGS.rules());
+    private final ClientTap client = new ClientTap(() -> nowUs, 0, CLASSES, book);
+    private final ListTap list = new ListTap(() -> nowUs, 0, book);
+
+    private StatementTap server(String id) {
+        StatementTap tap = new StatementTap(() -> nowUs, 0, id, CLASSES, book);
+        tap.says(Messages.startup());
+        tap.hears(Messages.welcome());
+        return tap;
+    }
+
+    private static byte[] with(byte[]... parts) {
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        for (byte[] part : parts) {
+            all.writeBytes(part);
+        }
+        all.writeBytes(Messages.readyForQuery());
+        return all.toByteArray();
+    }
+
+    private static byte[] read(String id, String cls, String more) {
+        return query("SELECT v FROM records WHERE k = 's1' /* id=" + id + ",c=" + cls + ",d=1000,cluster=0"
+                + more + " */");
+    }
+
+    private static byte[] write(String id) {
+        return query("INSERT INTO records (k, v) VALUES ('s1', '\\x00') RETURNING v /* id=" + id
+                + ",c=payment-post,d=3000,k=k1,cluster=0 */");
+    }
+
+    private static byte[] query(String sql) {
+        return Messages.query((sql + "\0").getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** A replica's answer from data of that age. */
+    private byte[] row(long ageUs) {
+        byte[] text = ("applied_ms\0" + (nowUs - ageUs) / 1000 + "\0").getBytes(StandardCharsets.US_ASCII);
+        return with(Messages.row("v", "x"), ByteBuffer.allocate(text.length + 5).put((byte) 'S')
+                .putInt(text.length + 4).put(text).array());
+    }
+
+    private List<String> broken() {
+        book.end(nowUs);
+        return book.rules().stream().filter(r -> r.broken() > 0).map(Rule::name).toList();
+    }
+
+    private void asks(byte[] query) {
+        client.hears(Messages.startup());
+        client.says(Messages.welcome());
+        client.hears(query);
+    }
+
+    @Test void aRequestServedInTimeBreaksNothing() {
+        asks(read("1", "account-view", ""));
+        StatementTap s = server("a");
+        byte[] query = read("1", "account-view", "");
+        for (byte b : query) { // However the bytes are split.
+            s.says(new byte[] {b});
+        }
+        nowUs += 40_000;
+        s.hears(row(500_000));
+        client.says(with(Messages.row("v", "x")));
+        nowUs += 10_000_000;
+        assertThat(broken()).isEmpty();
+    }
+
+    @Test void anAnswerThatIsLateOrNeverComesConvicts() {
+        asks(read("1", "account-view", ""));
+        nowUs += 1_100_000;
+        client.says(REFUSED);
+        assertThat(broken()).containsExactly("one final answer in time");
+        client.hears(read("2", "account-view", ""));
+        nowUs += 5_000_000;
+        client.ended(true);
+        assertThat(broken()).containsExactly("one final answer in time");
+        assertThat(book.broken()).isEqualTo(2);
+    }
+
+    @Test void whatAClientThatLeftOrAKilledPoolerOwesConvictsNobody() {
+        asks(read("1", "account-view", ""));
+        client.ended(false);
+        ClientTap second = new ClientTap(() -> nowUs, 1, CLASSES, book);
+        second.hears(Messages.startup());
+        second.hears(read("2", "account-view", ""));
+        book.died(nowUs, 1);
+        second.ended(true);
+        ClientTap third = new ClientTap(() -> nowUs, 2, CLASSES, book);
+        third.hears(Messages.startup());
+        third.says(Messages.welcome());
+        third.hears(read("3", "account-view", ""));
+        book.paused(nowUs, 2, true);
+        nowUs += 9_000_000;
+        book.paused(nowUs, 2, false);
+        third.says(REFUSED);
+        assertThat(broken()).isEmpty();
+    }
+
+    @Test void aSecondAttemptInFlightConvicts() {
+        server("a").says(read("1", "account-view", ""));
+        server("b").says(read("1", "account-view", ""));
+        assertThat(broken()).containsExactly("one attempt at a time, 10 at most");
+    }
+
+    @Test void aWriteSentAgainPastItsWindowConvictsAndWithinItDoesNot() {
+        StatementTap a = server("a");
+        asks(write("1"));
+        a.says(write("1"));
+        a.ended(true);
+        nowUs += 2_900_000;
+        StatementTap b = server("b");
+        b.says(write("1"));
+        b.ended(false);
+        assertThat(broken()).isEmpty();
+        nowUs += 200_000;
+        server("c").says(write("1"));
+        assertThat(broken()).contains("sent again only as the class permits");
+    }
+
+    @Test void aSendLongAfterTheListSaidThatItsServerDrainsConvicts() {
+        byte[] body = "{\"seq\":1,\"hosts\":[{\"host\":\"a\",\"health\":\"Terminating\"}]}".getBytes(
+                StandardCharsets.US_ASCII);
+        byte[] response = ("HTTP/1.1 200 OK\r\nContent-Length: " + body.length + "\r\n\r\n").getBytes(
+                StandardCharsets.US_ASCII);
+        list.hears(response);
+        list.hears(body);
+        nowUs += 900_000;
+        StatementTap a = server("a");
+        a.says(read("1", "account-view", ""));
+        a.hears(REFUSED);
+        assertThat(broken()).isEmpty();
+        nowUs += 200_000;
+        a.says(read("1", "account-view", ""));
+        assertThat(broken()).containsExactly("drains and ends kept");
+    }
+
+    @Test void aReadOlderThanItsClassOrItsSessionAllowsConvicts() {
+        StatementTap a = server("a");
+        a.says(read("1", "account-view", ""));
+        a.hears(row(790_000));
+        a.says(read("2", "receipt-view", ",after=" + (nowUs / 1000 - 100)));
+        a.hears(row(50_000));
+        assertThat(broken()).isEmpty();
+        a.says(read("3", "account-view", ""));
+        a.hears(row(900_000));
+        a.says(read("4", "receipt-view", ",after=" + (nowUs / 1000 - 100)));
+        a.hears(row(150_000));
+        assertThat(broken()).containsExactly("no stale read");
+        assertThat(book.broken()).isEqualTo(2);
+    }
+}
