Draw faults between processes from a seed, and put what one pooler does into its order

Need: hand-written faults find what their writer thought of; `random` in an experiment file draws kills, stops, pauses, cuts, delays, slow links, resets, and servers that crash and drain.

SendOrder looks for all earlier ends before a statement is told of. TapsTest has the order that misled.

--- a/lab/src/main/java/frostreel/lab/processes/Fleet.java
+++ b/lab/src/main/java/frostreel/lab/processes/Fleet.java
@@ -69,10 +69,13 @@
             InetSocketAddress any = new InetSocketAddress(host, 0);
             process = new PoolerProcess(number, free(host), jar, folder);
             List<Link> servers = new ArrayList<>();
+            SendOrder order = new SendOrder();
             for (Map.Entry<String, Database> d : databases.entrySet()) {
                 Link link = new Link(loop, any, d.getValue()::address, true,
-                        () -> new StatementTap(loop.clock(), number, d.getKey(), classes, rules));
+                        () -> new StatementTap(loop.clock(), number, d.getKey(), classes, rules,
+                                order));
                 servers.add(link);
+                order.looksBy(link::readNow);
                 dials.put(d.getKey(), PoolerProcess.text(link.address()));
             }
             agent = new Discovery(loop, kernel, cluster, dials::get, any);
@@ -246,6 +249,9 @@
     /** SIGKILL, and a new life later; {@code in} runs once the new life has been taken in. */
     void kill(int pooler, long awayUs, Runnable in) {
         Pooler p = poolers.get(pooler);
+        if (!p.wanted) {
+            return; // It is away already.
+        }
         tell(p.process.name() + " is killed");
         rules.died(kernel.now(), pooler);
         p.wanted = false;
@@ -256,6 +262,9 @@
     /** SIGTERM, and a new life after its end. */
     void stop(int pooler, long awayUs, Runnable in) {
         Pooler p = poolers.get(pooler);
+        if (!p.wanted) {
+            return;
+        }
         tell(p.process.name() + " is told to stop");
         p.wanted = false;
         p.process.terminate(() -> loop.thread().execute(() -> {
@@ -279,6 +288,9 @@
     /** SIGSTOP or SIGCONT; what a paused pooler could not answer, nobody is owed. */
     void pause(int pooler, boolean paused) {
         Pooler p = poolers.get(pooler);
+        if (!p.process.alive()) {
+            return;
+        }
         tell(p.process.name() + (paused ? " is paused" : " goes on"));
         try {
             p.process.signal(paused ? "STOP" : "CONT");
@@ -296,10 +308,33 @@
         links(pooler, side).forEach(l -> l.cut(near ? out : in, near ? in : out));
     }
 
-    List<Link> links(int pooler, Side side) {
+    private List<Link> links(int pooler, Side side) {
         return poolers.get(pooler).links.get(side);
     }
 
+    /** Every byte so much later, each way. */
+    void delay(int pooler, Side side, long us) {
+        tell("p" + pooler + " to " + side + ": " + us / 1000 + " ms later");
+        links(pooler, side).forEach(l -> l.delay(us));
+    }
+
+    /** So many bytes a second on each connection, 0 for no bound. */
+    void slow(int pooler, Side side, long bytesPerS) {
+        tell("p" + pooler + " to " + side + ": " + (bytesPerS == 0 ? "as fast as it goes"
+                : bytesPerS + " bytes a second"));
+        links(pooler, side).forEach(l -> l.slow(bytesPerS));
+    }
+
+    /** Every connection ends. */
+    void reset(int pooler, Side side) {
+        tell("p" + pooler + " to " + side + ": reset");
+        links(pooler, side).forEach(Link::reset);
+    }
+
+    long seed() {
+        return plan.seed();
+    }
+
     Cluster cluster() {
         return cluster;
     }
--- a/lab/src/main/java/frostreel/lab/processes/Link.java
+++ b/lab/src/main/java/frostreel/lab/processes/Link.java
@@ -79,6 +79,11 @@
         bytesPerS = perSecond;
     }
 
+    /** Takes what the near side has written, or ended, by now. */
+    void readNow() {
+        List.copyOf(pipes).forEach(p -> p.nearEnd.readNow());
+    }
+
     /** Resets every connection there is. */
     void reset() {
         List.copyOf(pipes).forEach(Pipe::close);
--- a/lab/src/main/java/frostreel/lab/processes/ProcessExperiment.java
+++ b/lab/src/main/java/frostreel/lab/processes/ProcessExperiment.java
@@ -66,9 +66,13 @@
         if (e.has("untilS") && untilUs <= atUs) {
             wrong.add(e.fault(file, "untilS", "is not after atS"));
         }
+        if (e.name().equals("random")) {
+            faults.add(f -> new RandomFaults(f, f.seed(), poolers(), servers(), e.seconds("lengthS")).set(
+                    (int) e.whole("count"), atUs, untilUs));
+            return;
+        }
         if (e.has("server")) {
-            serverFault(e, numbered(e, "server", fleet.whole("zones") * fleet.whole("groups"), wrong), atUs,
-                    untilUs);
+            serverFault(e, numbered(e, "server", servers(), wrong), atUs, untilUs);
             return;
         }
         int pooler = numbered(e, "pooler", fleet.whole("poolers"), wrong);
@@ -98,15 +102,13 @@
             }
             case "delay" -> {
                 long us = e.ms("ms");
-                between(atUs, untilUs, f -> f.links(pooler, side).forEach(l -> l.delay(us)),
-                        f -> f.links(pooler, side).forEach(l -> l.delay(0)));
+                between(atUs, untilUs, f -> f.delay(pooler, side, us), f -> f.delay(pooler, side, 0));
             }
             case "slow" -> {
                 long bytes = e.whole("bytesPerS");
-                between(atUs, untilUs, f -> f.links(pooler, side).forEach(l -> l.slow(bytes)),
-                        f -> f.links(pooler, side).forEach(l -> l.slow(0)));
+                between(atUs, untilUs, f -> f.slow(pooler, side, bytes), f -> f.slow(pooler, side, 0));
             }
-            default -> faults.add(f -> f.at(atUs, () -> f.links(pooler, side).forEach(Link::reset)));
+            default -> faults.add(f -> f.at(atUs, () -> f.reset(pooler, side)));
         }
     }
 
@@ -150,6 +152,10 @@
         return (int) fleet.whole("poolers");
     }
 
+    private int servers() {
+        return (int) (fleet.whole("zones") * fleet.whole("groups"));
+    }
+
     int durationS() {
         return durationS;
     }
--- a/lab/src/main/java/frostreel/lab/processes/StatementTap.java
+++ b/lab/src/main/java/frostreel/lab/processes/StatementTap.java
@@ -20,17 +20,20 @@
     private final String server;
     private final Map<String, Router.RequestClass> classes;
     private final Witness witness;
+    private final SendOrder order;
     private final MessageReader said = new MessageReader(type -> MOST_BYTES);
     private final MessageReader heard = new MessageReader(Reply::longest);
     private boolean started;
     private Reply reply = Reply.toStartup();
     /** What is out, null for nothing or a probe; its first byte's time and its last's. */
     private Statement out;
+    private boolean told;
     private long firstUs;
     private long lastUs;
 
     StatementTap(Clock clock, int pooler, String server, Map<String, Router.RequestClass> classes,
-            Witness witness) {
+            Witness witness, SendOrder order) {
+        this.order = order;
         this.clock = clock;
         this.pooler = pooler;
         this.server = server;
@@ -58,13 +61,23 @@
         try {
             out = Statement.parse(sql);
             lastUs = clock.now();
-            witness.sent(firstUs, pooler, out.id(), server);
+            told = false;
+            order.begins(this);
         } catch (PgException e) {
             out = null; // A probe.
         }
     }
 
+    /** Tells of the statement that is out, once. */
+    void tell() {
+        if (out != null && !told) {
+            told = true;
+            witness.sent(firstUs, pooler, out.id(), server);
+        }
+    }
+
     @Override public void hears(byte[] bytes) {
+        tell();
         heard.feed(ByteBuffer.wrap(bytes));
         try {
             while (heard.next()) {
@@ -95,6 +108,7 @@
     }
 
     @Override public void ended(boolean byIt) {
+        tell();
         if (out != null) {
             witness.ended(clock.now(), pooler, out.id(), byIt ? Outcome.TIMEOUT : Outcome.RESET, true);
             out = null;
--- a/lab/src/test/java/frostreel/lab/processes/TapsTest.java
+++ b/lab/src/test/java/frostreel/lab/processes/TapsTest.java
@@ -28,7 +28,11 @@
     private final ListTap list = new ListTap(() -> nowUs, 0, book);
 
     private StatementTap server(String id) {
-        StatementTap tap = new StatementTap(() -> nowUs, 0, id, CLASSES, book);
+        return server(id, new SendOrder());
+    }
+
+    private StatementTap server(String id, SendOrder order) {
+        StatementTap tap = new StatementTap(() -> nowUs, 0, id, CLASSES, book, order);
         tap.says(Messages.startup());
         tap.hears(Messages.welcome());
         return tap;
@@ -126,6 +130,17 @@
         assertThat(broken()).containsExactly("one attempt at a time, 10 at most");
     }
 
+    /** Two sockets that are ready at once are taken in any order. */
+    @Test void anAttemptWhoseEndIsFoundBehindTheNextOnesBytesConvictsNobody() {
+        SendOrder order = new SendOrder();
+        StatementTap a = server("a", order);
+        StatementTap b = server("b", order);
+        a.says(read("1", "account-view", ""));
+        order.looksBy(() -> a.ended(true));
+        b.says(read("1", "account-view", ""));
+        assertThat(broken()).isEmpty();
+    }
+
     @Test void aWriteSentAgainPastItsWindowConvictsAndWithinItDoesNot() {
         StatementTap a = server("a");
         asks(write("1"));
