--- a/lab/src/main/java/frostreel/lab/processes/Fleet.java
+++ b/lab/src/main/java/frostreel/lab/processes/Fleet.java
@@ -26,6 +26,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Consumer;
+import org.json.JSONObject;
 import willowfield.Router;
 
 /**
@@ -63,6 +64,8 @@
         final Map<Side, List<Link>> links = new HashMap<>();
         final Map<String, String> dials = new HashMap<>();
         final long seed = chance.nextLong();
+        /** The list as its last life held it; the next one starts with that. */
+        JSONObject known;
         boolean wanted;
 
         Pooler(int number, String host, Path jar) throws IOException {
@@ -86,11 +89,15 @@
                     () -> new ClientTap(loop.clock(), number, classes, rules))));
         }
 
+        /** What its agent has counts as told from its first moment: it would have been, had it asked. */
         void start() {
             wanted = true;
+            rules.paused(kernel.now(), process.number, false);
+            agent.members().stream().filter(m -> m.state() != Router.State.UP)
+                    .forEach(m -> rules.told(kernel.now(), process.number, m.id(), m.state()));
             try {
                 process.start(PlatformConfig.of(plan.settings(process.number % plan.zones(), seed),
-                        plan.zones(), agent.whole(), SOCKETS),
+                        plan.zones(), known == null ? agent.whole() : known, SOCKETS),
                         PoolerProcess.text(links.get(Side.DISCOVERY).get(0).address()));
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
@@ -253,12 +260,19 @@
             return; // It is away already.
         }
         tell(p.process.name() + " is killed");
-        rules.died(kernel.now(), pooler);
+        gone(p);
         p.wanted = false;
+        p.known = p.agent.whole();
         p.process.kill();
         kernel.after(awayUs, () -> restart(p, in));
     }
 
+    /** What still reaches its machine is owed by nobody. */
+    private void gone(Pooler p) {
+        rules.died(kernel.now(), p.process.number);
+        rules.paused(kernel.now(), p.process.number, true);
+    }
+
     /** SIGTERM, and a new life after its end. */
     void stop(int pooler, long awayUs, Runnable in) {
         Pooler p = poolers.get(pooler);
@@ -269,6 +283,8 @@
         p.wanted = false;
         p.process.terminate(() -> loop.thread().execute(() -> {
             tell(p.process.name() + " has ended");
+            p.known = p.agent.whole();
+            gone(p);
             kernel.after(awayUs, () -> restart(p, in));
         }));
     }
--- a/lab/src/main/java/frostreel/lab/rules/Witness.java
+++ b/lab/src/main/java/frostreel/lab/rules/Witness.java
@@ -33,7 +33,7 @@
     /** A pooler's process was killed: what it had taken, sent and been told is gone with it. */
     default void died(long nowUs, int pooler) {}
 
-    /** A pooler's process was stopped, or goes on: nobody is owed what it could not do meanwhile. */
+    /** A pooler stands still or is gone, or goes on: nobody is owed what it could not do meanwhile. */
     default void paused(long nowUs, int pooler, boolean isPaused) {}
 
     /** How a request was answered. */
--- a/lab/src/main/java/frostreel/lab/standin/Discovery.java
+++ b/lab/src/main/java/frostreel/lab/standin/Discovery.java
@@ -61,6 +61,11 @@
         }
     }
 
+    /** Every server as last told. */
+    public List<Router.Member> members() {
+        return List.copyOf(hosts.values());
+    }
+
     /** The whole list, as a pooler's configuration has it as known. */
     public JSONObject whole() {
         return list(true, hosts.values().stream().filter(m -> m.state() != Router.State.GONE).toList());
