Wait 0.3 s for discovery at a start by the known list, not 1 s

Ruled out: the first call's own bound of 1.5 s (two of ten starts call again; it alone changes nothing before ready). Change: KNOWN_PATIENCE_US 1 s to 0.3 s, handed in by a test, which then needs no clock.

--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -23,8 +23,12 @@
 public final class Pooler {
     /** Started without a list, it serves after so long at the latest, and learns of servers as they come. */
     private static final long LIST_PATIENCE_US = 2_000_000;
-    /** A silent discovery keeps a pooler out for no longer than this where that knows its servers. */
-    private static final long KNOWN_PATIENCE_US = 1_000_000;
+    /**
+     * A silent discovery keeps a pooler out for no longer than this where that knows its servers. An agent
+     * that has something to tell does so at once. Where it lets us wait for longer, discovery is overbooked
+     * or down and has told nothing yet: to wait on would only keep out a pooler that the others lack.
+     */
+    static final long KNOWN_PATIENCE_US = 300_000;
     /** After SIGTERM clients still come for a while; for so long they are served as ever. */
     private static final long STAY_US = 700_000;
     /** SIGKILL comes no sooner than the longest deadline, or this where that is longer, and the stay. */
@@ -44,10 +48,17 @@
     private final CountDownLatch listening = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
     private final long longestUs;
+    private final long knownPatienceUs;
     private boolean ready;
 
     /** Serves by the platform's word and the operators'. */
     public Pooler(Config config, OperatorSettings operators) throws IOException {
+        this(config, operators, KNOWN_PATIENCE_US);
+    }
+
+    /** {@code knownPatienceUs}: how long at most the list known from the start waits for discovery's word. */
+    Pooler(Config config, OperatorSettings operators, long knownPatienceUs) throws IOException {
+        this.knownPatienceUs = knownPatienceUs;
         loop = new Loop();
         pool = new ServerPool(loop, config.settings(), config.maxServerConnections());
         broker = new Broker(loop.clock(), loop.deadlines(), loop.counters(), pool, config.settings(),
@@ -83,7 +94,7 @@
             listener.open(config.listen());
             listening.countDown();
             LOG.info("listening on " + listener.address() + " as " + config.name());
-            loop.deadlines().after(known.hosts().isEmpty() ? LIST_PATIENCE_US : KNOWN_PATIENCE_US,
+            loop.deadlines().after(known.hosts().isEmpty() ? LIST_PATIENCE_US : knownPatienceUs,
                     this::becomeReady);
         } catch (IOException e) {
             LOG.log(Level.SEVERE, "GW_LISTEN: cannot listen on " + config.listen(), e);
--- a/pooler/src/test/java/frostreel/Stage.java
+++ b/pooler/src/test/java/frostreel/Stage.java
@@ -192,6 +192,8 @@
     final Peer discovery;
     Pooler pooler;
     OperatorSettings operators = OperatorSettings.DEFAULT;
+    /** How long the list known from the start waits for discovery; a test of that wait makes it endless. */
+    long knownPatienceUs = Pooler.KNOWN_PATIENCE_US;
 
     Stage() throws IOException {
         discovery = discovery(lists);
@@ -256,7 +258,8 @@
     }
 
     void startSilent(String... hosts) throws Exception {
-        pooler = new Pooler(Config.load(environment(configuration(discovery.address(), hosts))), operators);
+        pooler = new Pooler(Config.load(environment(configuration(discovery.address(), hosts))), operators,
+                knownPatienceUs);
     }
 
     static String configuration(String discovery, String... hosts) {
