Give a write all its time at a primary that says it is busy

Ruled out: failures of another kind (none of 22,000 attempts). Change: Brain.writeTimeout gives a write what is left of its time where the primary's last word on its use is 0.9 or more; ROOM is now FULL and serves both. One test with four reports, which fails without it.

--- a/decisions/src/main/java/willowfield/Brain.java
+++ b/decisions/src/main/java/willowfield/Brain.java
@@ -48,7 +48,8 @@
     private static final long LONG_AGO = Long.MIN_VALUE / 2;
     /** Requests a second that a cold member gets of all routers together before any knows what it can do. */
     private static final double FIRST_DOSE = 2;
-    private static final double ROOM = 0.9, MOST_ROOM = 2; // Of a cold member's use, and of its share.
+    private static final double FULL = 0.9; // So much of its capacity in use, a member is busy enough.
+    private static final double MOST_ROOM = 2; // A cold member's budget grows to so many of its share.
     private static final double LEAST_USE = 0.05; // Less than this in use tells nothing of a capacity.
     private static final String SWEEP = "sweep";
 
@@ -480,9 +481,10 @@
         g.parked.removeIf(c -> !c.parked);
     }
 
+    /** A primary that says it is busy is not silent: the same write again would only add to its work. */
     private long writeTimeout(long now, Call c, Node n) {
         long left = c.q.deadlineUs() - now;
-        if (c.k.repeat() == Repeat.UNSAFE) {
+        if (c.k.repeat() == Repeat.UNSAFE || n.util >= FULL) {
             return left;
         }
         long t = (long) Math.max(c.k.aimUs(), SILENCE * expected(c, n, now));
@@ -940,7 +942,7 @@
         if (warmth >= 1) {
             return true;
         }
-        double room = n.util > 0 ? Math.max(1, Math.min(ROOM / n.util, MOST_ROOM)) : 1;
+        double room = n.util > 0 ? Math.max(1, Math.min(FULL / n.util, MOST_ROOM)) : 1;
         double perSecond = Math.max(share(now, n.kind) * warmth * n.weight * room,
                 set.instances() > 0 ? FIRST_DOSE * work / 1e6 / set.instances() : 0);
         n.budget = Math.min(Math.max(perSecond * set.rules().fallUs() / 2e6, work / 1e6),
--- a/decisions/src/test/java/willowfield/BrainTest.java
+++ b/decisions/src/test/java/willowfield/BrainTest.java
@@ -21,6 +21,7 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
 import willowfield.Recorder.Setup;
@@ -188,6 +189,20 @@
         assertTrue(r.now < first + 3_100_000, "failed at once when nothing more could be tried");
     }
 
+    /** Given up at a few times its usual time, it went there again, and the primary did its work twice. */
+    @ParameterizedTest
+    @CsvSource({"NaN, false", "0.5, false", "0.9, true", "1, true"})
+    void aWriteToAPrimaryThatSaysItIsBusyIsNotSentThereTwice(double util, boolean waits) {
+        Recorder r = trio();
+        r.ask("v", KEYED);
+        r.end("v", Outcome.OK, Role.PRIMARY, 0);
+        r.router.onProbe(r.now, "a", true, 1_000,
+                new Router.Report(r.now, Role.PRIMARY, util, Double.NaN, Double.NaN));
+        r.ask("w", KEYED, 0, 2_900_000);
+        assertEquals("a", r.last("w").member());
+        assertEquals(waits, r.last("w").timeoutUs() == 2_900_000, "given all its time");
+    }
+
     @Test
     void aKeyThatAllMembersKnowMayBeRefusedAfterDoubt() {
         Setup s = new Setup();
