Add membership of poolers over JGroups, with a relay on every way between them

Change: a module `cluster`: Membership (views, messages to one and to all, suspicion), Peer (a name and a life), ClusterSettings (all members named, no wildcard), GroupMembership over JGroups 5.3.12 with bounded queues and one thread of its own. In the lab PeerLinks, a link for each ordered pair, and VirtualGroup, the same interface in virtual time. Not in the program yet; the guard lists its packages, LayersTest who may lean on JGroups.

--- /dev/null
+++ b/cluster/src/main/java/frostreel/cluster/ClusterSettings.java
@@ -0,0 +1,54 @@
+package frostreel.cluster;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+
+/**
+ * Who may be in the group, and how soon silence counts. All members are named in advance: nobody else is
+ * listened to.
+ *
+ * @param group the group's name; poolers of other groups are not heard
+ * @param self this pooler's name, one of {@code members}
+ * @param bind where this pooler listens for the others; no wildcard
+ * @param members each member's address, by which the others reach it; may differ from what it binds to
+ * @param silentAfterMs a member that nobody hears for so long is suspected, 500 to 60,000
+ */
+public record ClusterSettings(String group, String self, InetSocketAddress bind,
+        Map<String, InetSocketAddress> members, long silentAfterMs) {
+    private static final long LEAST_SILENT_MS = 500;
+    private static final long MOST_SILENT_MS = 60_000;
+
+    /** Refuses with a message for operators what cannot be meant. */
+    public ClusterSettings {
+        members = new TreeMap<>(members);
+        require(!group.isBlank(), "the group has no name");
+        require(members.containsKey(self), "the members do not name this pooler, " + self);
+        require(!bind.isUnresolved(), "unknown address " + bind);
+        require(!bind.getAddress().isAnyLocalAddress(), "bind to one address, not to all: " + bind);
+        require(silentAfterMs >= LEAST_SILENT_MS && silentAfterMs <= MOST_SILENT_MS,
+                "silentAfterMs is " + silentAfterMs + ", " + LEAST_SILENT_MS + " to " + MOST_SILENT_MS);
+        Set<InetSocketAddress> taken = new HashSet<>();
+        members.forEach((name, address) -> {
+            require(!address.isUnresolved() && address.getPort() > 0, "unknown address " + address + " of "
+                    + name);
+            require(!address.getAddress().isAnyLocalAddress(), name + " has no address of its own: "
+                    + address);
+            require(taken.add(address), name + " has another member's address, " + address);
+        });
+    }
+
+    /** How the others reach this pooler. */
+    public InetSocketAddress announced() {
+        return members.get(self);
+    }
+
+
+    private static void require(boolean holds, String otherwise) {
+        if (!holds) {
+            throw new IllegalArgumentException(otherwise);
+        }
+    }
+}
--- /dev/null
+++ b/cluster/src/main/java/frostreel/cluster/jgroups/GroupMembership.java
@@ -0,0 +1,290 @@
+package frostreel.cluster.jgroups;
+
+import frostreel.cluster.ClusterSettings;
+import frostreel.cluster.Membership;
+import frostreel.cluster.Peer;
+import frostreel.cluster.View;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.List;
+import java.util.concurrent.ArrayBlockingQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.ThreadPoolExecutor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.LongAdder;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.jgroups.Address;
+import org.jgroups.BytesMessage;
+import org.jgroups.JChannel;
+import org.jgroups.MergeView;
+import org.jgroups.Message;
+import org.jgroups.Receiver;
+import org.jgroups.protocols.FD_ALL3;
+import org.jgroups.protocols.FRAG4;
+import org.jgroups.protocols.MERGE3;
+import org.jgroups.protocols.MFC;
+import org.jgroups.protocols.TCP;
+import org.jgroups.protocols.TCPPING;
+import org.jgroups.protocols.UFC;
+import org.jgroups.protocols.UNICAST3;
+import org.jgroups.protocols.VERIFY_SUSPECT2;
+import org.jgroups.protocols.pbcast.GMS;
+import org.jgroups.protocols.pbcast.NAKACK2;
+import org.jgroups.protocols.pbcast.STABLE;
+import org.jgroups.stack.Protocol;
+import org.jgroups.util.ExtendedUUID;
+import org.jgroups.util.UUID;
+
+/**
+ * Membership by JGroups over TCP. Owns the channel and one thread that speaks to it, as joining, sending and
+ * leaving may wait; both queues, to the channel and to the owner's thread, are bounded, and what finds them
+ * full is dropped and counted.
+ */
+public final class GroupMembership implements Membership {
+    /** Messages that wait to be sent, and messages heard that wait for the owner's thread. */
+    private static final int MOST_WAITING = 1024;
+    /** The largest frame on the wire; more is no message of ours. */
+    private static final int MOST_FRAME = 2 * MOST_BYTES;
+    private static final int MOST_THREADS = 8;
+    private static final int CONNECT_MS = 1000;
+    private static final long JOIN_MS = 1000;
+    private static final long LEAVE_MS = 500;
+    private static final long MERGE_LEAST_MS = 500;
+    private static final long MERGE_MOST_MS = 2000;
+    /** Beats in the time after which silence counts. */
+    private static final int BEATS = 4;
+    private static final String NAME = "name";
+    private static final String LIFE = "life";
+    private static final Logger LOG = Logger.getLogger(GroupMembership.class.getName());
+    private final ClusterSettings settings;
+    private final Peer self;
+    private final Executor owner;
+    private final Listener listener;
+    private final JChannel channel;
+    private final ThreadPoolExecutor speaker;
+    private final AtomicInteger waiting = new AtomicInteger();
+    private final LongAdder sent = new LongAdder();
+    private final LongAdder received = new LongAdder();
+    private final LongAdder dropped = new LongAdder();
+    private final LongAdder strangers = new LongAdder();
+    private View view = View.NONE; // With those below, the owner's thread's alone.
+    private boolean left;
+
+    /**
+     * Joins, and goes on trying where nobody answers. {@code life} is this start's number; events come by
+     * {@code owner}, which runs one at a time, in order.
+     */
+    public GroupMembership(ClusterSettings settings, long life, Executor owner, Listener listener) {
+        this.settings = settings;
+        this.owner = owner;
+        this.listener = listener;
+        self = new Peer(settings.self(), life);
+        speaker = new ThreadPoolExecutor(1, 1, 0, TimeUnit.SECONDS, new ArrayBlockingQueue<>(MOST_WAITING),
+                r -> {
+                    Thread t = new Thread(r, "cluster");
+                    t.setDaemon(true);
+                    return t;
+                });
+        try {
+            channel = new JChannel(stack()).name(self.toString()).setDiscardOwnMessages(true);
+        } catch (Exception e) { // What the library declares; nothing in it is read or opened yet.
+            throw new IllegalStateException(e);
+        }
+        // It would open a port for anyone.
+        channel.getProtocolStack().getTransport().getDiagnosticsHandler().setEnabled(false);
+        channel.addAddressGenerator(this::address);
+        channel.setReceiver(new Ears());
+        speaker.execute(this::join);
+    }
+
+    /** Its name and life go with the address, so that everyone knows them with the first word heard. */
+    private Address address() {
+        return ExtendedUUID.randomUUID(self.toString())
+                .put(NAME, self.name().getBytes(StandardCharsets.UTF_8))
+                .put(LIFE, ByteBuffer.allocate(Long.BYTES).putLong(self.life()).array());
+    }
+
+    private static Peer peer(Address address) {
+        if (address instanceof ExtendedUUID id && id.keyExists(NAME) && id.get(LIFE) != null
+                && id.get(LIFE).length == Long.BYTES) {
+            return new Peer(new String(id.get(NAME), StandardCharsets.UTF_8),
+                    ByteBuffer.wrap(id.get(LIFE)).getLong());
+        }
+        return null;
+    }
+
+    private List<Protocol> stack() throws Exception {
+        TCP tcp = new TCP();
+        tcp.setBindAddress(settings.bind().getAddress()).setBindPort(settings.bind().getPort())
+                .setPortRange(0).setExternalAddr(settings.announced().getAddress())
+                .setExternalPort(settings.announced().getPort());
+        tcp.setClientBindAddr(settings.bind().getAddress()).setSockConnTimeout(CONNECT_MS)
+                .setMaxLength(MOST_FRAME);
+        tcp.getThreadPool().setMaxThreads(MOST_THREADS);
+        TCPPING named = new TCPPING();
+        named.setInitialHosts(settings.members().values()).setPortRange(0);
+        long silentMs = settings.silentAfterMs();
+        return List.of(tcp, named,
+                new MERGE3().setMinInterval(MERGE_LEAST_MS).setMaxInterval(MERGE_MOST_MS),
+                new FD_ALL3().setTimeout(silentMs).setInterval(silentMs / BEATS),
+                new VERIFY_SUSPECT2().setTimeout(silentMs / 2), new NAKACK2().useMcastXmit(false),
+                new UNICAST3(), new STABLE(),
+                new GMS().setJoinTimeout(JOIN_MS).setLeaveTimeout(LEAVE_MS).printLocalAddress(false),
+                new UFC(), new MFC(), new FRAG4().setFragSize(MOST_BYTES / 2),
+                new Suspicions(this::suspects));
+    }
+
+    private void join() {
+        try {
+            channel.connect(settings.group());
+        } catch (Exception e) { // Whatever it is, there is no group for this pooler.
+            LOG.log(Level.SEVERE, "GW_CLUSTER: cannot take part in " + settings.group() + " at "
+                    + settings.bind(), e);
+            tell(() -> listener.failed(String.valueOf(e.getMessage())));
+        }
+    }
+
+    @Override public Peer self() {
+        return self;
+    }
+
+    @Override public View view() {
+        return view;
+    }
+
+    @Override public void send(Peer to, byte[] message) {
+        check(message);
+        speak(() -> {
+            org.jgroups.View now = channel.getView();
+            if (now != null) {
+                for (Address a : now.getMembers()) {
+                    if (to.equals(peer(a))) {
+                        write(a, message);
+                    }
+                }
+            }
+        });
+    }
+
+    @Override public void cast(byte[] message) {
+        check(message);
+        speak(() -> write(null, message));
+    }
+
+    private static void check(byte[] message) {
+        if (message.length > MOST_BYTES) {
+            throw new IllegalArgumentException(message.length + " bytes, at most " + MOST_BYTES);
+        }
+    }
+
+    private void speak(Runnable what) {
+        try {
+            speaker.execute(what);
+        } catch (RejectedExecutionException full) {
+            dropped.increment();
+        }
+    }
+
+    private void write(Address to, byte[] message) {
+        try {
+            channel.send(new BytesMessage(to, message).setFlag(Message.TransientFlag.DONT_BLOCK));
+            sent.increment();
+        } catch (Exception e) { // The channel is not in a group, or is leaving it.
+            dropped.increment();
+        }
+    }
+
+    @Override public void leave() {
+        if (left) {
+            return;
+        }
+        left = true;
+        speaker.getQueue().clear();
+        speaker.execute(channel::close);
+        speaker.shutdown();
+    }
+
+    /** Waits until it has left, for tests and the program's end; false once the time is over. */
+    public boolean awaitLeft(long ms) throws InterruptedException {
+        return speaker.awaitTermination(ms, TimeUnit.MILLISECONDS);
+    }
+
+    /** What was sent, heard and dropped so far, on one line; from any thread. */
+    public String counters() {
+        return "sent=" + sent + " received=" + received + " dropped=" + dropped + " strangers=" + strangers;
+    }
+
+    private void suspects(Collection<Address> whom) {
+        for (Address a : whom) {
+            Peer p = known(a);
+            if (p != null) {
+                tell(() -> listener.suspected(p));
+            }
+        }
+    }
+
+    /** A peer that the settings name; null, and counted, for anyone else. */
+    private Peer known(Address a) {
+        Peer p = peer(a);
+        if (p == null || !settings.members().containsKey(p.name())) {
+            strangers.increment();
+            return null;
+        }
+        return p;
+    }
+
+    private void tell(Runnable event) {
+        try {
+            owner.execute(() -> {
+                if (!left) {
+                    event.run();
+                }
+            });
+        } catch (RejectedExecutionException e) {
+            LOG.fine("the owner has ended");
+        }
+    }
+
+    /** What comes from the channel, on its threads. */
+    private final class Ears implements Receiver {
+        @Override public void viewAccepted(org.jgroups.View v) {
+            List<Peer> peers = new ArrayList<>();
+            for (Address a : v.getMembers()) {
+                Peer p = known(a);
+                if (p != null) {
+                    peers.add(p);
+                }
+            }
+            View next = new View(v.getViewId().getId(), peers, v instanceof MergeView);
+            tell(() -> {
+                View before = view;
+                view = next;
+                listener.changed(next, before);
+            });
+        }
+
+        @Override public void receive(Message m) {
+            Peer from = known(m.src());
+            if (from == null || m.getLength() > MOST_BYTES) {
+                return;
+            }
+            if (waiting.incrementAndGet() > MOST_WAITING) {
+                waiting.decrementAndGet();
+                dropped.increment();
+                return;
+            }
+            received.increment();
+            byte[] bytes = new byte[m.getLength()];
+            System.arraycopy(m.getArray(), m.getOffset(), bytes, 0, bytes.length);
+            tell(() -> {
+                waiting.decrementAndGet();
+                listener.received(from, bytes);
+            });
+        }
+    }
+}
--- /dev/null
+++ b/cluster/src/main/java/frostreel/cluster/jgroups/Suspicions.java
@@ -0,0 +1,24 @@
+package frostreel.cluster.jgroups;
+
+import java.util.Collection;
+import java.util.function.Consumer;
+import org.jgroups.Address;
+import org.jgroups.Event;
+import org.jgroups.stack.Protocol;
+
+/** The top of the stack: hears whom the layers below have come to suspect, which channels do not pass on. */
+final class Suspicions extends Protocol {
+    private final Consumer<Collection<Address>> listener;
+
+    Suspicions(Consumer<Collection<Address>> listener) {
+        this.listener = listener;
+    }
+
+    @Override public Object up(Event event) {
+        if (event.getType() == Event.SUSPECT) {
+            Collection<Address> whom = event.arg();
+            listener.accept(whom);
+        }
+        return super.up(event);
+    }
+}
--- a/lab/src/main/java/frostreel/lab/processes/Link.java
+++ b/lab/src/main/java/frostreel/lab/processes/Link.java
@@ -38,6 +38,7 @@
     private final Supplier<InetSocketAddress> far;
     private final boolean poolerIsNear;
     private final Supplier<Tap> taps;
+    /** Null where connections are handed in by {@link #carry}. */
     private final Port port;
     private final Set<Pipe> pipes = new HashSet<>();
     private boolean forthCut;
@@ -45,14 +46,22 @@
     private long delayUs;
     private long bytesPerS;
 
-    /** {@code near}: where it listens, port 0 for a free one; {@code far}: where it goes on to. */
+    /**
+     * {@code near}: where it listens, port 0 for a free one, or null where another listens for it;
+     * {@code far}: where it goes on to.
+     */
     Link(Loop loop, InetSocketAddress near, Supplier<InetSocketAddress> far, boolean poolerIsNear,
             Supplier<Tap> taps) throws IOException {
         this.loop = loop;
         this.poolerIsNear = poolerIsNear;
         this.far = far;
         this.taps = taps;
-        port = new Port(loop, near, Pipe::new);
+        port = near == null ? null : new Port(loop, near, this::carry);
+    }
+
+    /** Takes a connection that came in from the near side. */
+    void carry(StreamConnection connection) {
+        new Pipe(connection);
     }
 
     InetSocketAddress address() {
@@ -90,7 +99,9 @@
     }
 
     void close() {
-        port.close();
+        if (port != null) {
+            port.close();
+        }
         reset();
     }
 
--- a/lab/src/test/java/frostreel/lab/LayersTest.java
+++ b/lab/src/test/java/frostreel/lab/LayersTest.java
@@ -53,6 +53,9 @@
                 noClasses().that().resideOutsideOfPackages("frostreel.cli..", "frostreel.lab..")
                         .should().dependOnClassesThat().resideInAPackage("picocli..")
                         .because("serving does not pay for the command line"),
+                noClasses().that().resideOutsideOfPackages("frostreel.cluster.jgroups..", "org.jgroups..")
+                        .should().dependOnClassesThat().resideInAPackage("org.jgroups..")
+                        .because("the library stands behind one narrow interface"),
                 noClasses().that().resideOutsideOfPackages("frostreel.lab..").should()
                         .dependOnClassesThat().resideInAPackage("frostreel.lab..")
                         .because("the lab is not on the serving class path"));
--- /dev/null
+++ b/lab/src/test/java/frostreel/lab/virtual/VirtualGroupTest.java
@@ -0,0 +1,214 @@
+package frostreel.lab.virtual;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import frostreel.cluster.Membership;
+import frostreel.cluster.Peer;
+import frostreel.cluster.View;
+import frostreel.lab.model.VirtualTime;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.stream.IntStream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+
+/** The group in virtual time holds to what the one over sockets is tested for. */
+class VirtualGroupTest {
+    private static final long SILENT_US = 2_000_000;
+    private static final long SETTLED_US = 3_000_000;
+    private final VirtualTime time = new VirtualTime(1_000_000_000);
+    private final Map<String, Ears> ears = new TreeMap<>();
+    private VirtualGroup group;
+
+    private static final class Ears implements Membership.Listener {
+        final List<View> views = new ArrayList<>();
+        final List<String> heard = new ArrayList<>();
+        final Set<String> suspects = new TreeSet<>();
+        final List<String> failures = new ArrayList<>();
+        Membership mine;
+
+        @Override public void changed(View view, View before) {
+            assertThat(before).isEqualTo(views.isEmpty() ? View.NONE : views.get(views.size() - 1));
+            assertThat(view.number()).isGreaterThan(before.number());
+            assertThat(view.members()).contains(mine.self());
+            views.add(view);
+        }
+
+        @Override public void suspected(Peer peer) {
+            suspects.add(peer.name());
+        }
+
+        @Override public void received(Peer from, byte[] message) {
+            heard.add(from.name() + ":" + new String(message));
+        }
+
+        @Override public void failed(String why) {
+            failures.add(why);
+        }
+
+        List<String> sees() {
+            return mine.view().members().stream().map(Peer::name).toList();
+        }
+    }
+
+    private Ears join(String name, long life) {
+        Ears e = new Ears();
+        e.mine = group.join(name, life, e);
+        ears.put(name, e);
+        return e;
+    }
+
+    private void start(int count, long seed) {
+        Set<String> names = new TreeSet<>();
+        IntStream.range(0, count).forEach(i -> names.add(name(i)));
+        group = new VirtualGroup(time, new SplittableRandom(seed), names, SILENT_US, 1_000);
+        names.forEach(n -> join(n, 1));
+        pass(SETTLED_US);
+        ears.values().forEach(e -> assertThat(e.sees()).containsExactlyElementsOf(names));
+    }
+
+    private static String name(int i) {
+        return String.format("p%03d", i);
+    }
+
+    private void pass(long us) {
+        time.runUntil(time.now() + us);
+    }
+
+    @Test void aCutBothWaysMakesTwoPartsAndHealingMergesThem() {
+        start(5, 1);
+        cut(true, 2, 5);
+        pass(SETTLED_US);
+        assertThat(ears.get("p000").sees()).containsExactly("p000", "p001");
+        assertThat(ears.get("p004").sees()).containsExactly("p002", "p003", "p004");
+        assertThat(ears.get("p000").suspects).containsExactly("p002", "p003", "p004");
+        cut(false, 2, 5);
+        pass(SETTLED_US);
+        for (Ears e : ears.values()) {
+            assertThat(e.sees()).hasSize(5);
+            assertThat(e.mine.view().merged()).isTrue();
+        }
+    }
+
+    private void cut(boolean isCut, int first, int count) {
+        for (int a = 0; a < first; a++) {
+            for (int b = first; b < count; b++) {
+                group.cut(name(a), name(b), isCut);
+                group.cut(name(b), name(a), isCut);
+            }
+        }
+    }
+
+    @Test void oneThatHearsButIsNotHeardIsOut() {
+        start(3, 1);
+        group.cut("p002", "p000", true);
+        group.cut("p002", "p001", true);
+        ears.get("p000").mine.cast("still".getBytes());
+        ears.get("p002").mine.cast("lost".getBytes());
+        pass(SETTLED_US);
+        assertThat(ears.get("p002").heard).containsExactly("p000:still");
+        assertThat(ears.get("p001").heard).containsExactly("p000:still");
+        assertThat(ears.get("p000").sees()).containsExactly("p000", "p001");
+        assertThat(ears.get("p002").sees()).containsExactly("p002");
+    }
+
+    @Test void aCutShorterThanSilenceChangesNoView() {
+        start(3, 1);
+        cut(true, 1, 3);
+        pass(SILENT_US / 2);
+        cut(false, 1, 3);
+        pass(2 * SETTLED_US);
+        ears.values().forEach(e -> assertThat(e.views).hasSize(1));
+    }
+
+    @Test void aPausedOneIsOutHearsWhatCameOnWakingAndIsTakenInAgain() {
+        start(3, 1);
+        group.pause("p001", true);
+        ears.get("p000").mine.cast("news".getBytes());
+        pass(SETTLED_US);
+        assertThat(ears.get("p000").sees()).containsExactly("p000", "p002");
+        assertThat(ears.get("p001").sees()).hasSize(3);
+        assertThat(ears.get("p001").heard).isEmpty();
+        group.pause("p001", false);
+        assertThat(ears.get("p001").heard).containsExactly("p000:news");
+        pass(SETTLED_US);
+        ears.values().forEach(e -> assertThat(e.sees()).hasSize(3));
+    }
+
+    @Test void messagesKeepTheirOrderThoughTheWayGetsShorter() {
+        start(2, 1);
+        Membership a = ears.get("p000").mine;
+        group.delay("p000", "p001", 500_000);
+        a.send(ears.get("p001").mine.self(), "one".getBytes());
+        group.delay("p000", "p001", 0);
+        a.cast("two".getBytes());
+        pass(400_000);
+        assertThat(ears.get("p001").heard).isEmpty();
+        pass(200_000);
+        assertThat(ears.get("p001").heard).containsExactly("p000:one", "p000:two");
+        assertThatThrownBy(() -> a.cast(new byte[Membership.MOST_BYTES + 1])).hasMessageContaining("at most");
+    }
+
+    @Test void aLeaverIsNotSuspectedAndItsNextLifeIsAnotherPeer() {
+        start(3, 1);
+        Ears old = ears.get("p001");
+        old.mine.leave();
+        pass(10_000);
+        assertThat(ears.get("p000").sees()).containsExactly("p000", "p002");
+        assertThat(ears.get("p000").suspects).isEmpty();
+        ears.get("p000").mine.send(old.mine.self(), "gone".getBytes());
+        join("p001", 2);
+        pass(10_000);
+        assertThat(ears.get("p000").mine.view().members()).contains(new Peer("p001", 2));
+        assertThat(old.heard).isEmpty();
+        assertThat(ears.get("p001").heard).isEmpty();
+    }
+
+    @Test void whoIsNotNamedIsRefused() {
+        start(2, 1);
+        assertThat(join("other", 1).failures).isEmpty();
+        pass(SETTLED_US);
+        assertThat(ears.remove("other").failures).containsExactly("other is not named");
+        ears.values().forEach(e -> assertThat(e.sees()).containsExactly("p000", "p001"));
+    }
+
+    /** A hundred poolers, and whatever happens to them, agree within their parts once it is over. */
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3, 4, 5})
+    void aHundredAgreeOnceTheFaultsAreOver(long seed) {
+        int count = 100;
+        start(count, seed);
+        SplittableRandom chance = new SplittableRandom(seed);
+        for (int i = 0; i < 300; i++) {
+            String one = name(chance.nextInt(count));
+            String other = name(chance.nextInt(count));
+            switch (chance.nextInt(4)) {
+                case 0 -> group.cut(one, other, chance.nextBoolean());
+                case 1 -> group.pause(one, chance.nextBoolean());
+                case 2 -> {
+                    group.kill(one);
+                    join(one, i + 2);
+                }
+                default -> ears.get(one).mine.cast(other.getBytes());
+            }
+            pass(chance.nextLong(200_000));
+        }
+        for (int a = 0; a < count; a++) {
+            group.pause(name(a), false);
+            for (int b = 0; b < count; b++) {
+                group.cut(name(a), name(b), false);
+            }
+        }
+        pass(SETTLED_US);
+        View last = ears.get(name(0)).mine.view();
+        assertThat(last.members()).hasSize(count);
+        ears.values().forEach(e -> assertThat(e.mine.view()).isEqualTo(last));
+    }
+}
