Excuse what a killed pooler had written, which the lab counted as a second answer

Cause, by reading: OneAnswer.died forgot what a killed pooler owed, so an answer that it had written before, read by the relay after its death, looked like a second one. Change: what a dead pooler owed is excused, not forgotten, and owed anew where it is asked again.

--- a/lab/src/main/java/frostreel/lab/rules/RuleBook.java
+++ b/lab/src/main/java/frostreel/lab/rules/RuleBook.java
@@ -47,6 +47,7 @@
         }
 
         @Override public void asked(long nowUs, int pooler, String id, RequestClass c, long deadlineUs) {
+            excused.remove(id);
             open.put(id, new Owed(pooler, deadlineUs));
             if (paused.contains(pooler)) {
                 excused(nowUs, id);
@@ -56,15 +57,20 @@
         @Override public void paused(long nowUs, int pooler, boolean isPaused) {
             if (isPaused) {
                 paused.add(pooler);
-                List.copyOf(open.entrySet()).stream().filter(e -> e.getValue().pooler == pooler)
-                        .forEach(e -> excused(nowUs, e.getKey()));
+                excuse(nowUs, pooler);
             } else {
                 paused.remove(pooler);
             }
         }
 
+        /** It owes nothing more; what it had written before may still arrive. */
         @Override public void died(long nowUs, int pooler) {
-            open.values().removeIf(owed -> owed.pooler == pooler);
+            excuse(nowUs, pooler);
+        }
+
+        private void excuse(long nowUs, int pooler) {
+            List.copyOf(open.entrySet()).stream().filter(e -> e.getValue().pooler == pooler)
+                    .forEach(e -> excused(nowUs, e.getKey()));
         }
 
         void end(long nowUs) {
--- a/lab/src/test/java/frostreel/lab/rules/RuleBookTest.java
+++ b/lab/src/test/java/frostreel/lab/rules/RuleBookTest.java
@@ -67,6 +67,21 @@
         assertThat(book.broken()).isEqualTo(3);
     }
 
+    @Test void aDeadPoolerOwesNothingButItsNextLifeDoes() {
+        book.asked(0, 1, "a", READ, 1000);
+        book.asked(0, 1, "b", READ, 1000);
+        book.died(500, 1);
+        book.answered(600, 1, "a", Answer.SERVED); // It had been written before.
+        assertThat(book.broken()).isZero();
+        book.asked(700, 1, "b", READ, 2000);
+        book.answered(800, 1, "b", Answer.SERVED);
+        book.answered(900, 1, "b", Answer.SERVED);
+        assertThat(book.broken()).isEqualTo(1);
+        book.asked(1000, 1, "c", READ, 2000);
+        book.end(30_000);
+        assertThat(book.broken()).isEqualTo(2);
+    }
+
     @Test void twoAttemptsInFlightAndTooMany() {
         book.asked(0, 1, "a", READ, 1000);
         book.sent(1, 1, "a", "s");
