Let poolers that the operators' file names see each other, and show them by SHOW fleet

Change: `cluster` in the operators' file (checked whole: own name, double names and addresses, wildcards, by line); frostreel.fleet.Fellows joins, logs and shows; the rig starts such fleets, with cutPeers, delayPeers, slowPeers and the check `apart`. Nothing of it is loaded without the file (guard). A life travels as text: logs showed it as raw bytes when tried as a new user.

--- a/cluster/src/main/java/frostreel/cluster/jgroups/GroupMembership.java
+++ b/cluster/src/main/java/frostreel/cluster/jgroups/GroupMembership.java
@@ -4,7 +4,6 @@
 import frostreel.cluster.Membership;
 import frostreel.cluster.Peer;
 import frostreel.cluster.View;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
@@ -106,14 +105,17 @@
     private Address address() {
         return ExtendedUUID.randomUUID(self.toString())
                 .put(NAME, self.name().getBytes(StandardCharsets.UTF_8))
-                .put(LIFE, ByteBuffer.allocate(Long.BYTES).putLong(self.life()).array());
+                .put(LIFE, Long.toString(self.life()).getBytes(StandardCharsets.US_ASCII)); // Logs show it.
     }
 
     private static Peer peer(Address address) {
-        if (address instanceof ExtendedUUID id && id.keyExists(NAME) && id.get(LIFE) != null
-                && id.get(LIFE).length == Long.BYTES) {
-            return new Peer(new String(id.get(NAME), StandardCharsets.UTF_8),
-                    ByteBuffer.wrap(id.get(LIFE)).getLong());
+        if (address instanceof ExtendedUUID id && id.keyExists(NAME) && id.keyExists(LIFE)) {
+            try {
+                return new Peer(new String(id.get(NAME), StandardCharsets.UTF_8),
+                        Long.parseLong(new String(id.get(LIFE), StandardCharsets.US_ASCII)));
+            } catch (NumberFormatException e) {
+                return null; // Nobody of ours.
+            }
         }
         return null;
     }
@@ -125,14 +127,15 @@
                 .setExternalPort(settings.announced().getPort());
         tcp.setClientBindAddr(settings.bind().getAddress()).setSockConnTimeout(CONNECT_MS)
                 .setMaxLength(MOST_FRAME);
-        tcp.getThreadPool().setMaxThreads(MOST_THREADS);
+        tcp.getThreadPool().setMaxThreads(MOST_THREADS).setIncreaseMaxSizeDynamically(false);
         TCPPING named = new TCPPING();
         named.setInitialHosts(settings.members().values()).setPortRange(0);
         long silentMs = settings.silentAfterMs();
         return List.of(tcp, named,
                 new MERGE3().setMinInterval(MERGE_LEAST_MS).setMaxInterval(MERGE_MOST_MS),
                 new FD_ALL3().setTimeout(silentMs).setInterval(silentMs / BEATS),
-                new VERIFY_SUSPECT2().setTimeout(silentMs / 2), new NAKACK2().useMcastXmit(false),
+                new VERIFY_SUSPECT2().setTimeout(silentMs / 2), new NAKACK2().useMcastXmit(false)
+                        .logDiscardMessages(false), // In a split there are many.
                 new UNICAST3(), new STABLE(),
                 new GMS().setJoinTimeout(JOIN_MS).setLeaveTimeout(LEAVE_MS).printLocalAddress(false),
                 new UFC(), new MFC(), new FRAG4().setFragSize(MOST_BYTES / 2),
--- a/lab/src/main/java/frostreel/lab/processes/Conductor.java
+++ b/lab/src/main/java/frostreel/lab/processes/Conductor.java
@@ -34,8 +34,8 @@
     public boolean run(ProcessExperiment experiment, long seed, Path jar, Path folder) throws Exception {
         Path work = folder == null ? Files.createTempDirectory("frostreel-processes")
                 : Files.createDirectories(folder);
-        Fleet fleet = new Fleet(experiment.plan(seed), experiment.poolers(), jar, work,
-                experiment.slackUs());
+        Fleet fleet = new Fleet(experiment.plan(seed), experiment.poolers(),
+                experiment.silentAfterMs(), jar, work, experiment.slackUs());
         // An interrupted run, too, ends all it started.
         Thread interrupted = new Thread(() -> end(fleet), "end");
         Runtime.getRuntime().addShutdownHook(interrupted);
@@ -76,11 +76,12 @@
                 out.flush();
             }
         }
+        long apart = apart(experiment, fleet);
         fleet.judge();
         List<String> crashed = fleet.crashed();
         fleet.end();
         List<String> verdicts = new ArrayList<>();
-        boolean good = judge(experiment, fleet, crashed, faults(work), verdicts);
+        boolean good = judge(experiment, fleet, crashed, faults(work), apart, verdicts);
         Load load = fleet.load();
         out.printf(Locale.ROOT, "asked %d, served %d, refused %d, failed %d, unanswered %d, unplaced %d, "
                 + "retries %d; median %.1f ms, 99%% %.1f ms%n", load.asked, load.served.getTotalCount(),
@@ -96,6 +97,15 @@
         return good;
     }
 
+    /** Poolers that do not see all others, at the run's end; 0 where the poolers see nobody by design. */
+    private static long apart(ProcessExperiment experiment, Fleet fleet) throws IOException {
+        long apart = 0;
+        for (int i = 0; i < experiment.poolers() && experiment.silentAfterMs() > 0; i++) {
+            apart += fleet.page(i, "fleet").contains(" here=" + experiment.poolers() + " ") ? 0 : 1;
+        }
+        return apart;
+    }
+
     private static String line(Load load, int s) {
         Load.Second second = load.seconds()[s];
         return String.format(Locale.ROOT, "%4d s  asked %5d  served %5d  worth %.3f", s, second.asked,
@@ -103,7 +113,7 @@
     }
 
     private static boolean judge(ProcessExperiment experiment, Fleet fleet, List<String> crashed,
-            long faultsInLogs, List<String> verdicts) {
+            long faultsInLogs, long apart, List<String> verdicts) {
         boolean good = crashed.isEmpty() && fleet.load().foreign == 0;
         crashed.forEach(p -> verdicts.add("fail: " + p + " ended by itself"));
         if (fleet.load().foreign > 0) {
@@ -113,6 +123,7 @@
             double value = switch (c.kind()) {
                 case "rules" -> fleet.rules().broken();
                 case "worth" -> fleet.load().worth(c.fromS(), c.toS());
+                case "apart" -> apart;
                 case "unanswered" -> fleet.load().unanswered;
                 default -> faultsInLogs;
             };
--- a/lab/src/main/java/frostreel/lab/processes/Fleet.java
+++ b/lab/src/main/java/frostreel/lab/processes/Fleet.java
@@ -15,6 +15,7 @@
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -51,6 +52,9 @@
     private final Map<String, Database> databases = new LinkedHashMap<>();
     private final Map<String, Long> bornUs = new HashMap<>();
     private final List<String> story = new ArrayList<>();
+    /** Null where the poolers do not see each other. */
+    private PeerLinks peers;
+    private Path settings;
     private Cluster cluster;
     private Load load;
     private long beganUs;
@@ -98,15 +102,19 @@
             try {
                 process.start(PlatformConfig.of(plan.settings(process.number % plan.zones(), seed),
                         plan.zones(), known == null ? agent.whole() : known, SOCKETS),
-                        PoolerProcess.text(links.get(Side.DISCOVERY).get(0).address()));
+                        PoolerProcess.text(links.get(Side.DISCOVERY).get(0).address()), settings);
             } catch (IOException e) {
                 throw new UncheckedIOException(e);
             }
         }
     }
 
-    /** Nothing runs yet; {@code folder} takes configurations and logs, {@code slackUs} eases the rules. */
-    Fleet(Plan plan, int poolerCount, Path jar, Path folder, long slackUs) throws Exception {
+    /**
+     * Nothing runs yet; {@code folder} takes configurations and logs, {@code slackUs} eases the rules. Where
+     * {@code silentAfterMs} is not 0, the poolers see each other, and notice silence after that time.
+     */
+    Fleet(Plan plan, int poolerCount, long silentAfterMs, Path jar, Path folder, long slackUs)
+            throws Exception {
         this.plan = plan;
         this.folder = folder;
         SplittableRandom seeds = new SplittableRandom(plan.seed());
@@ -119,6 +127,9 @@
                 r.fallMultiple(), r.fallUs()));
         onLoop(() -> {
             build(poolerCount, jar);
+            if (silentAfterMs > 0) {
+                join(silentAfterMs);
+            }
             return null;
         });
     }
@@ -158,6 +169,24 @@
                 (int) (plan.durationUs() / 1_000_000));
     }
 
+    /** Puts a relay before each pooler's place in the group, and writes the operators' file for all. */
+    private void join(long silentAfterMs) throws IOException {
+        List<InetSocketAddress> binds = new ArrayList<>();
+        for (Pooler p : poolers) {
+            binds.add(free(p.process.listen.getAddress().getHostAddress()));
+        }
+        peers = new PeerLinks(loop, binds);
+        StringBuilder file = new StringBuilder("<frostreel xmlns=\"urn:frostreel:settings:1\">\n"
+                + "  <cluster silentAfterMs=\"" + silentAfterMs + "\">\n");
+        for (int i = 0; i < binds.size(); i++) {
+            file.append("    <pooler name=\"").append(poolers.get(i).process.name()).append("\" at=\"")
+                    .append(PoolerProcess.text(peers.address(i))).append("\" bind=\"")
+                    .append(PoolerProcess.text(binds.get(i))).append("\"/>\n");
+        }
+        file.append("  </cluster>\n</frostreel>\n");
+        settings = Files.writeString(folder.resolve("frostreel.xml"), file);
+    }
+
     /** A port that nobody has now; a pooler keeps it over all its lives. */
     private static InetSocketAddress free(String host) throws IOException {
         try (ServerSocket s = new ServerSocket(0, 1, InetAddress.getByName(host))) {
@@ -341,6 +370,25 @@
         links(pooler, side).forEach(l -> l.slow(bytesPerS));
     }
 
+    /** What {@code from} say to {@code to} is cut, or heard again; the other way is left as it is. */
+    void cutPeers(List<Integer> from, List<Integer> to, boolean isCut) {
+        tell("what " + from + " say to " + to + " is " + (isCut ? "cut" : "heard again"));
+        from.forEach(f -> to.forEach(t -> peers.cut(f, t, isCut)));
+    }
+
+    /** Every byte between the two sides so much later, each way. */
+    void delayPeers(List<Integer> from, List<Integer> to, long us) {
+        tell("between " + from + " and " + to + ": " + us / 1000 + " ms later");
+        from.forEach(f -> to.forEach(t -> peers.delay(f, t, us)));
+    }
+
+    /** So many bytes a second on each connection between the two sides, 0 for no bound. */
+    void slowPeers(List<Integer> from, List<Integer> to, long bytesPerS) {
+        tell("between " + from + " and " + to + ": " + (bytesPerS == 0 ? "as fast as it goes"
+                : bytesPerS + " bytes a second"));
+        from.forEach(f -> to.forEach(t -> peers.slow(f, t, bytesPerS)));
+    }
+
     /** Every connection ends. */
     void reset(int pooler, Side side) {
         tell("p" + pooler + " to " + side + ": reset");
@@ -373,6 +421,11 @@
         return story;
     }
 
+    /** From any thread: what a pooler shows to on-call staff. */
+    String page(int pooler, String page) throws IOException {
+        return poolers.get(pooler).process.page(page);
+    }
+
     /** Processes that ended though nobody ended them. */
     List<String> crashed() {
         return poolers.stream().filter(p -> p.wanted && !p.process.alive()).map(p -> p.process.name())
@@ -397,6 +450,9 @@
                 p.agent.close();
             }
             databases.values().forEach(Database::close);
+            if (peers != null) {
+                peers.close();
+            }
             return null;
         });
         loop.end();
--- a/lab/src/main/java/frostreel/lab/processes/ProcessExperiment.java
+++ b/lab/src/main/java/frostreel/lab/processes/ProcessExperiment.java
@@ -8,6 +8,7 @@
 import java.net.URL;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Locale;
 import java.util.function.Consumer;
@@ -17,6 +18,9 @@
     /** A bound on what a run showed; seconds are read for worth alone. */
     record Check(String kind, int fromS, int toS, double bound) {}
 
+    /** As the operators' file has it. */
+    private static final long LEAST_SILENT_MS = 500;
+    private static final long MOST_SILENT_MS = 60_000;
     private static final URL SCHEMA = ProcessExperiment.class.getResource("processes.xsd");
     private final String file;
     private final String name;
@@ -35,6 +39,10 @@
         durationS = (int) root.whole("durationS");
         fleet = root.child("fleet");
         clients = root.child("clients");
+        if (silentAfterMs() > 0 && (silentAfterMs() < LEAST_SILENT_MS || silentAfterMs() > MOST_SILENT_MS)) {
+            wrong.add(fleet.fault(file, "silentAfterMs", "is 0, or " + LEAST_SILENT_MS + " to "
+                    + MOST_SILENT_MS));
+        }
         root.child("faults").children().forEach(f -> fault(f, wrong));
         root.child("checks").children().forEach(c -> check(c, wrong));
     }
@@ -71,6 +79,10 @@
                     (int) e.whole("count"), atUs, untilUs));
             return;
         }
+        if (e.has("from")) {
+            peersFault(e, atUs, untilUs, wrong);
+            return;
+        }
         if (e.has("server")) {
             serverFault(e, numbered(e, "server", servers(), wrong), atUs, untilUs);
             return;
@@ -112,6 +124,43 @@
         }
     }
 
+    private void peersFault(XmlElement e, long atUs, long untilUs, List<Fault> wrong) {
+        if (silentAfterMs() == 0) {
+            wrong.add(e.fault(file, null, "the poolers of this fleet do not see each other"));
+        }
+        List<Integer> from = numbers(e, "from", wrong);
+        List<Integer> to = numbers(e, "to", wrong);
+        if (from.stream().anyMatch(to::contains)) {
+            wrong.add(e.fault(file, "to", "a pooler stands on both sides"));
+        }
+        switch (e.name()) {
+            case "cutPeers" -> {
+                boolean both = e.text("way").equals("both");
+                between(atUs, untilUs, f -> cutPeers(f, from, to, both, true),
+                        f -> cutPeers(f, from, to, both, false));
+            }
+            case "delayPeers" -> between(atUs, untilUs, f -> f.delayPeers(from, to, e.ms("ms")),
+                    f -> f.delayPeers(from, to, 0));
+            default -> between(atUs, untilUs, f -> f.slowPeers(from, to, e.whole("bytesPerS")),
+                    f -> f.slowPeers(from, to, 0));
+        }
+    }
+
+    private static void cutPeers(Fleet f, List<Integer> from, List<Integer> to, boolean both, boolean isCut) {
+        f.cutPeers(from, to, isCut);
+        if (both) {
+            f.cutPeers(to, from, isCut);
+        }
+    }
+
+    private List<Integer> numbers(XmlElement e, String attribute, List<Fault> wrong) {
+        List<Integer> numbers = Arrays.stream(e.text(attribute).split("\\s+")).map(Integer::valueOf).toList();
+        if (numbers.stream().anyMatch(n -> n >= poolers())) {
+            wrong.add(e.fault(file, attribute, "there are poolers 0 to " + (poolers() - 1)));
+        }
+        return numbers;
+    }
+
     private void serverFault(XmlElement e, int server, long atUs, long untilUs) {
         Consumer<Fleet> begin = switch (e.name()) {
             case "crashServer" -> f -> f.cluster().crash(f.server(server));
@@ -156,6 +205,11 @@
         return (int) (fleet.whole("zones") * fleet.whole("groups"));
     }
 
+    /** After so long poolers notice that another is silent; 0 where they do not see each other. */
+    long silentAfterMs() {
+        return fleet.whole("silentAfterMs");
+    }
+
     int durationS() {
         return durationS;
     }
--- a/lab/src/test/java/frostreel/lab/Packages.java
+++ b/lab/src/test/java/frostreel/lab/Packages.java
@@ -6,7 +6,7 @@
 final class Packages {
     /** Of these, `run` in the deploy file loads nothing, and the guard fails where it does. */
     static final List<String> OPTIONAL = List.of("frostreel.cluster",
-            "frostreel.cluster.jgroups", "frostreel.zones");
+            "frostreel.cluster.jgroups", "frostreel.fleet", "frostreel.zones");
     static final List<String> SERVING = List.of("frostreel", "frostreel.broker", "frostreel.cli",
             "frostreel.config", "frostreel.discovery", "frostreel.log", "frostreel.net", "frostreel.pg",
             "frostreel.settings", "frostreel.stats", "willowfield");
--- /dev/null
+++ b/lab/src/test/java/frostreel/lab/processes/FellowsTest.java
@@ -0,0 +1,120 @@
+package frostreel.lab.processes;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import frostreel.lab.virtual.Plan;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Processes of the program that see each other, and faults between them; all waits are for what they show. */
+@Timeout(300)
+class FellowsTest {
+    private static final Path PROGRAM = Path.of("../pooler/target/frostreel.jar").toAbsolutePath();
+    private static final long SILENT_MS = 800;
+    @TempDir Path dir;
+    private Fleet fleet;
+
+    @BeforeEach void start() throws Exception {
+        fleet = new Fleet(new Plan(3, 3, 1, 2, 2, 30, 0, 600_000_000, true), 3, SILENT_MS, PROGRAM, dir,
+                20_000_000);
+        fleet.start();
+        fleet.begin(List.of());
+        await(0, "p0 here", "p1 here", "p2 here");
+        await(1, "p0 here", "p1 here", "p2 here");
+        await(2, "p0 here", "p1 here", "p2 here");
+    }
+
+    @AfterEach void end() throws Exception {
+        fleet.end();
+        assertThat(ProcessHandle.current().children()).isEmpty();
+    }
+
+    /** Asks a pooler until it shows all of this. */
+    private String await(int pooler, String... lines) throws IOException {
+        while (true) {
+            String page = fleet.page(pooler, "fleet");
+            if (List.of(lines).stream().allMatch(l -> page.lines().anyMatch(p -> p.startsWith(l)))) {
+                return page;
+            }
+            Thread.onSpinWait();
+        }
+    }
+
+    private void cut(boolean isCut, List<Integer> from, List<Integer> to) throws Exception {
+        fleet.onLoop(() -> {
+            fleet.cutPeers(from, to, isCut);
+            return null;
+        });
+    }
+
+    private static long life(String page, String name) {
+        Matcher life = Pattern.compile("(?m)^" + name + " here life=(\\d+)").matcher(page);
+        assertThat(life.find()).as(page).isTrue();
+        return Long.parseLong(life.group(1));
+    }
+
+    private void rulesWereKept() throws Exception {
+        CountDownLatch over = new CountDownLatch(1);
+        fleet.onLoop(() -> {
+            fleet.load().whenAllEnded(over::countDown);
+            return null;
+        });
+        over.await();
+        fleet.judge();
+        assertThat(fleet.rules().broken()).as(() -> String.join("\n", fleet.story())).isZero();
+        assertThat(fleet.load().served.getTotalCount()).isPositive();
+        assertThat(fleet.crashed()).isEmpty();
+    }
+
+    @Test void oneThatIsCutOffIsAbsentForTheOthersServesOnAndIsHereAgain() throws Exception {
+        cut(true, List.of(2), List.of(0, 1));
+        await(0, "p0 here", "p1 here", "p2 absent");
+        await(1, "p0 here", "p1 here", "p2 absent");
+        assertThat(fleet.page(2, "stats")).isNotEmpty();
+        cut(false, List.of(2), List.of(0, 1));
+        for (int i = 0; i < 3; i++) {
+            await(i, "p0 here", "p1 here", "p2 here");
+        }
+        rulesWereKept();
+    }
+
+    @Test void oneThatIsKilledComesBackInANewLifeAndOneThatPausesInItsOldOne() throws Exception {
+        long first = life(await(0, "p1 here"), "p1");
+        CountDownLatch back = new CountDownLatch(1);
+        fleet.onLoop(() -> {
+            fleet.kill(1, 0, back::countDown);
+            return null;
+        });
+        back.await();
+        String page = await(0, "p1 here life=");
+        while (life(page, "p1") == first) {
+            page = await(0, "p1 here life=");
+        }
+        assertThat(life(page, "p1")).isGreaterThan(first);
+        long paused = life(await(0, "p2 here"), "p2");
+        pause(true);
+        await(0, "p2 absent");
+        await(1, "p2 absent");
+        pause(false);
+        for (int i = 0; i < 3; i++) {
+            assertThat(life(await(i, "p0 here", "p1 here", "p2 here"), "p2")).isEqualTo(paused);
+        }
+        rulesWereKept();
+    }
+
+    private void pause(boolean isPaused) throws Exception {
+        fleet.onLoop(() -> {
+            fleet.pause(2, isPaused);
+            return null;
+        });
+    }
+}
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -4,6 +4,7 @@
 import frostreel.config.Config;
 import frostreel.config.HostList;
 import frostreel.discovery.Watch;
+import frostreel.fleet.Fellows;
 import frostreel.net.Listener;
 import frostreel.net.Loop;
 import frostreel.net.ServerPool;
@@ -11,6 +12,7 @@
 import frostreel.zones.ZoneAdviser;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Objects;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
@@ -36,6 +38,7 @@
     /** So long before SIGKILL is due, all that was taken after the stay is answered. */
     private static final long KILL_MARGIN_US = 400_000;
     private static final long CHECK_US = 20_000;
+    private static final long LEAVE_MS = 300;
     private static final Logger LOG = Logger.getLogger(Pooler.class.getName());
     private final Loop loop;
     private final ServerPool pool;
@@ -45,6 +48,9 @@
     /** The list known from the start; null once it is taken. */
     private HostList known;
     private ZoneAdviser advice;
+    /** Null where no poolers see each other. */
+    private final Fellows fellows;
+    private final OperatorSettings.Cluster cluster;
     private final CountDownLatch listening = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
     private final long longestUs;
@@ -71,6 +77,11 @@
         if (advice != null) {
             listener.page("zones", advice::toString);
         }
+        cluster = operators.cluster();
+        fellows = cluster == null ? null : new Fellows(cluster, config.name(), loop);
+        if (fellows != null) {
+            listener.page("fleet", fellows::toString);
+        }
         known = config.known();
         watch = watch(config, known.hosts().isEmpty() ? -1 : known.seq());
         loop.onAwakening(() -> watch.readNow());
@@ -122,6 +133,9 @@
 
     /** Goes over to the operators' new tiers; whether there are any, or none, is settled at the start. */
     public void reload(Config config, OperatorSettings operators) {
+        if (!Objects.equals(cluster, operators.cluster())) {
+            LOG.warning("other poolers are named now: they hold from the next start");
+        }
         loop.thread().execute(() -> operators.zonesFor(config.settings().zone(), config.zones())
                 .ifPresent(zones -> {
                     if (advice == null) {
@@ -188,6 +202,9 @@
         });
         // A client that neither finishes a message nor goes away must not keep the process past SIGKILL.
         boolean clean = ended.await(longestUs + STAY_US, TimeUnit.MICROSECONDS);
+        if (fellows != null) {
+            fellows.leave(loop, LEAVE_MS);
+        }
         loop.end();
         return clean;
     }
--- a/pooler/src/main/java/frostreel/cli/Serve.java
+++ b/pooler/src/main/java/frostreel/cli/Serve.java
@@ -29,10 +29,11 @@
 
     @Override public Integer call() throws IOException {
         try {
+            Config config = Config.load(System.getenv());
             OperatorSettings operators = settings == null ? OperatorSettings.DEFAULT
-                    : OperatorSettings.read(settings);
+                    : OperatorSettings.read(settings, config.name());
             Logging.configure(operators.logFormat(), operators.logLevel());
-            Pooler pooler = new Pooler(Config.load(System.getenv()), operators);
+            Pooler pooler = new Pooler(config, operators);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(pooler), "stop"));
             Hangup.handle(() -> reload(pooler));
             return GOES_ON;
@@ -59,7 +60,7 @@
 
     private void reload(Pooler pooler, Config config) {
         try {
-            OperatorSettings operators = OperatorSettings.read(settings);
+            OperatorSettings operators = OperatorSettings.read(settings, config.name());
             Logging.configure(operators.logFormat(), operators.logLevel());
             pooler.reload(config, operators);
             LOG.info("the settings of " + settings + " hold");
--- a/pooler/src/test/java/frostreel/ServingTest.java
+++ b/pooler/src/test/java/frostreel/ServingTest.java
@@ -462,7 +462,7 @@
 
     @Test void withTiersStatedReadsKeepToThemAndTheOverviewIsShown() throws Exception {
         stage.operators = new OperatorSettings(Logging.Format.TEXT, Level.INFO, new OperatorSettings.Zones(
-                List.of(new OperatorSettings.Tier(List.of(), 1)), 2));
+                List.of(new OperatorSettings.Tier(List.of(), 1)), 2), null);
         start();
         try (Stage.Link c = stage.client()) {
             assertThat(value(c.ask(look("1", 9000)))).isEqualTo("from-replica");
--- a/pooler/src/test/java/frostreel/settings/OperatorSettingsTest.java
+++ b/pooler/src/test/java/frostreel/settings/OperatorSettingsTest.java
@@ -6,6 +6,7 @@
 import frostreel.log.Logging;
 import frostreel.zones.ZoneSettings;
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
@@ -35,7 +36,7 @@
 
     @Test void defaultsAreFilledIn() throws Exception {
         assertThat(OperatorSettings.read(file(HEAD + "<log format=\"json\"/></frostreel>")))
-                .isEqualTo(new OperatorSettings(Logging.Format.JSON, Level.INFO, null));
+                .isEqualTo(new OperatorSettings(Logging.Format.JSON, Level.INFO, null, null));
         assertThat(OperatorSettings.read(file(HEAD + "</frostreel>"))).isEqualTo(OperatorSettings.DEFAULT);
     }
 
@@ -64,6 +65,32 @@
                         "frostreel/zones/tier@spill");
     }
 
+    @Test void thePoolersThatSeeEachOtherAreReadAndTheirFaultsNamed() throws Exception {
+        Path file = file(HEAD + "<cluster silentAfterMs='800'><pooler name='a' at='10.0.0.1:7800'/>"
+                + "<pooler name='b' at='10.0.0.2:7800' bind='127.0.0.2:7801'/></cluster></frostreel>");
+        OperatorSettings.Cluster read = OperatorSettings.read(file, "b").cluster();
+        assertThat(read.group()).isEqualTo("frostreel");
+        assertThat(read.silentAfterMs()).isEqualTo(800);
+        InetSocketAddress first = new InetSocketAddress("10.0.0.1", 7800);
+        assertThat(read.stations()).containsOnlyKeys("a", "b")
+                .containsEntry("a", new OperatorSettings.Station(first, first))
+                .containsEntry("b", new OperatorSettings.Station(new InetSocketAddress("10.0.0.2", 7800),
+                        new InetSocketAddress("127.0.0.2", 7801)));
+        assertThatThrownBy(() -> OperatorSettings.read(file, "c"))
+                .hasMessageContaining(":2:").hasMessageContaining("frostreel/cluster: this pooler, 'c'");
+        assertThat(faults(HEAD + "<cluster>\n<pooler name='a' at='10.0.0.1:7800'/>\n"
+                + "<pooler name='a' at='10.0.0.2:7800'/>\n<pooler name='b' at='10.0.0.1:7800'/>\n"
+                + "<pooler name='c' at='0.0.0.0:7800'/>\n<pooler name='d' at='10.0.0.300:1'/>\n"
+                + "<pooler name='e' at='10.0.0.3:0'/>\n<pooler name='f' at='10.0.0.4:65536'/>\n"
+                + "</cluster></frostreel>")).extracting(f -> f.line() + " " + f.key()).containsExactly(
+                        "4 frostreel/cluster/pooler@name", "5 frostreel/cluster/pooler@at",
+                        "6 frostreel/cluster/pooler@at", "7 frostreel/cluster/pooler@at",
+                        "8 frostreel/cluster/pooler@at", "9 frostreel/cluster/pooler@at");
+        assertThat(faults(HEAD + "<cluster silentAfterMs='100'>\n<pooler name='a' at='localhost:1'/>"
+                + "</cluster></frostreel>")).extracting(Fault::key).containsExactly(
+                        "frostreel/cluster@silentAfterMs", "frostreel/cluster/pooler@at");
+    }
+
     @Test void whatIsNotWellFormedIsToldByLine() throws Exception {
         assertThat(faults(HEAD + "<log>\n</frostreel>")).singleElement()
                 .satisfies(f -> assertThat(f.line()).isEqualTo(3));
