Give the virtual group a majority's log, for a hundred poolers

Need: versions and leases are to be tried in virtual time with the same interface as over sockets. Change: VirtualGroup.log, a MajorityLog that chooses where a majority of the named reach each other, may lose an answer, and tells those that come late.

--- a/lab/src/main/java/frostreel/lab/virtual/VirtualGroup.java
+++ b/lab/src/main/java/frostreel/lab/virtual/VirtualGroup.java
@@ -1,5 +1,6 @@
 package frostreel.lab.virtual;
 
+import frostreel.cluster.MajorityLog;
 import frostreel.cluster.Membership;
 import frostreel.cluster.Peer;
 import frostreel.cluster.View;
@@ -24,10 +25,13 @@
 public final class VirtualGroup {
     /** Beyond the time after which silence counts, views come so much later at most. */
     private static final long SPREAD_US = 500_000;
+    private static final long PROPOSAL_US = 10_000_000;
+    private static final long AGAIN_US = 100_000;
     private final Kernel kernel;
     private final SplittableRandom chance;
     private final Set<String> named;
     private final long silentUs;
+    private final List<byte[]> entries = new ArrayList<>();
     private final Map<String, Member> present = new TreeMap<>();
     /** Who left with a word: nobody need be suspected first. */
     private final Set<Peer> farewells = new HashSet<>();
@@ -56,6 +60,10 @@
         private View view = View.NONE;
         /** The newest view there is for it; it takes it only once it does not pause. */
         private View given = View.NONE;
+        /** Null where it takes no part in the log. */
+        private MajorityLog.Listener chosen;
+        private long toldNumber;
+        private boolean lags;
         private boolean paused;
         private long pausedAtUs;
         private boolean gone;
@@ -138,6 +146,87 @@
         return m;
     }
 
+    /**
+     * A member's part in the majority's log; {@code chosen} hears all there is, and what comes. What was
+     * chosen outlasts every life, as if all kept their folders.
+     */
+    public MajorityLog log(Membership member, MajorityLog.Listener chosen) {
+        Member m = (Member) member;
+        m.chosen = chosen;
+        catchUp(m);
+        return (entry, outcome) -> propose(m, entry, outcome);
+    }
+
+    private void propose(Member m, byte[] entry, MajorityLog.Outcome outcome) {
+        if (entry.length > MajorityLog.MOST_BYTES) {
+            throw new IllegalArgumentException(entry.length + " bytes, at most " + MajorityLog.MOST_BYTES);
+        }
+        byte[] copy = entry.clone();
+        long untilUs = kernel.now() + PROPOSAL_US;
+        kernel.after(2 * usualDelayUs, () -> attempt(m, copy, outcome, untilUs));
+    }
+
+    /** Goes on until a majority is there to choose it; its answer may be lost on the way back. */
+    private void attempt(Member m, byte[] entry, MajorityLog.Outcome outcome, long untilUs) {
+        if (m.gone) {
+            return;
+        }
+        if (kernel.now() >= untilUs) {
+            m.hears(() -> outcome.unknown("no majority"));
+        } else if (m.paused || partOf(m).size() <= named.size() / 2) {
+            kernel.after(AGAIN_US, () -> attempt(m, entry, outcome, untilUs));
+        } else {
+            entries.add(entry);
+            long number = entries.size();
+            present.values().forEach(this::catchUp);
+            kernel.after(2 * usualDelayUs, () -> {
+                if (partOf(m).size() > named.size() / 2) {
+                    m.hears(() -> outcome.chosen(number));
+                } else {
+                    kernel.after(PROPOSAL_US, () -> m.hears(() -> outcome.unknown("the answer was lost")));
+                }
+            });
+        }
+    }
+
+    /** Those that reach each other now, this one among them; a paused one reaches nobody. */
+    private List<Member> partOf(Member m) {
+        return present.values().stream().filter(o -> o == m || !o.paused && !m.paused && waysOpen(o, m))
+                .toList();
+    }
+
+    private boolean waysOpen(Member a, Member b) {
+        return !cuts.containsKey(List.of(a.self.name(), b.self.name()))
+                && !cuts.containsKey(List.of(b.self.name(), a.self.name()));
+    }
+
+    /** Tells a member what was chosen, as soon as it is in touch with a majority; it asks until then. */
+    private void catchUp(Member m) {
+        if (m.chosen == null || m.lags) {
+            return;
+        }
+        m.lags = true;
+        kernel.after(usualDelayUs, () -> {
+            m.lags = false;
+            if (m.gone) {
+                return;
+            }
+            if (m.paused || partOf(m).size() <= named.size() / 2) {
+                m.lags = true;
+                kernel.after(AGAIN_US, () -> {
+                    m.lags = false;
+                    catchUp(m);
+                });
+                return;
+            }
+            m.toldNumber = Math.max(m.toldNumber, entries.size() - MajorityLog.KEPT);
+            while (m.toldNumber < entries.size()) {
+                long number = ++m.toldNumber;
+                m.hears(() -> m.chosen.chosen(number, entries.get((int) number - 1)));
+            }
+        });
+    }
+
     /** The process is gone without a word. */
     public void kill(String name) {
         end(present.get(name));
--- a/lab/src/test/java/frostreel/lab/virtual/VirtualGroupTest.java
+++ b/lab/src/test/java/frostreel/lab/virtual/VirtualGroupTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import frostreel.cluster.MajorityLog;
 import frostreel.cluster.Membership;
 import frostreel.cluster.Peer;
 import frostreel.cluster.View;
@@ -211,4 +212,91 @@
         assertThat(last.members()).hasSize(count);
         ears.values().forEach(e -> assertThat(e.mine.view()).isEqualTo(last));
     }
+
+    /** One pooler's part in the log, with what it was told and answered. */
+    private final class Scribe {
+        final TreeMap<Long, String> told = new TreeMap<>();
+        final Map<String, Long> answered = new TreeMap<>();
+        final List<String> doubtful = new ArrayList<>();
+        final MajorityLog log;
+
+        Scribe(String name) {
+            log = group.log(ears.get(name).mine, (number, entry) -> {
+                assertThat(number).isEqualTo(told.isEmpty() ? 1 : told.lastKey() + 1);
+                told.put(number, new String(entry));
+            });
+        }
+
+        void propose(String entry) {
+            log.propose(entry.getBytes(), new MajorityLog.Outcome() {
+                @Override public void chosen(long number) {
+                    answered.put(entry, number);
+                }
+
+                @Override public void unknown(String why) {
+                    doubtful.add(entry);
+                }
+            });
+        }
+    }
+
+    @Test void theSmallerPartChoosesNothingAndHearsAllOnceHealed() {
+        start(5, 1);
+        Scribe small = new Scribe("p000");
+        Scribe large = new Scribe("p004");
+        cut(true, 2, 5);
+        small.propose("small");
+        large.propose("large");
+        pass(1_000_000);
+        assertThat(large.told).containsOnly(Map.entry(1L, "large"));
+        assertThat(small.told).isEmpty();
+        pass(20_000_000);
+        assertThat(small.doubtful).containsExactly("small");
+        cut(false, 2, 5);
+        pass(1_000_000);
+        assertThat(small.told).isEqualTo(large.told);
+        assertThatThrownBy(() -> small.log.propose(new byte[MajorityLog.MOST_BYTES + 1], null))
+                .hasMessageContaining("at most");
+    }
+
+    @ParameterizedTest
+    @ValueSource(longs = {1, 2, 3})
+    void aHundredAreToldTheSameWhateverIsCutPausedOrKilled(long seed) {
+        int count = 100;
+        start(count, seed);
+        Map<String, Scribe> scribes = new TreeMap<>();
+        ears.keySet().forEach(n -> scribes.put(n, new Scribe(n)));
+        Map<Long, String> answered = new TreeMap<>();
+        SplittableRandom chance = new SplittableRandom(seed);
+        for (int i = 0; i < 200; i++) {
+            String one = name(chance.nextInt(count));
+            switch (chance.nextInt(4)) {
+                case 0 -> group.cut(one, name(chance.nextInt(count)), chance.nextBoolean());
+                case 1 -> group.pause(one, chance.nextBoolean());
+                case 2 -> {
+                    scribes.get(one).answered.forEach((entry, n) -> answered.put(n, entry));
+                    group.kill(one);
+                    join(one, i + 2);
+                    scribes.put(one, new Scribe(one));
+                }
+                default -> scribes.get(one).propose("e" + i);
+            }
+            pass(chance.nextLong(100_000));
+        }
+        for (int a = 0; a < count; a++) {
+            group.pause(name(a), false);
+            for (int b = 0; b < count; b++) {
+                group.cut(name(a), name(b), false);
+            }
+        }
+        pass(30_000_000);
+        Map<Long, String> all = scribes.get(name(0)).told;
+        assertThat(all).isNotEmpty();
+        assertThat(all.values()).doesNotHaveDuplicates();
+        for (Scribe s : scribes.values()) {
+            assertThat(s.told).isEqualTo(all);
+            s.answered.forEach((entry, n) -> answered.put(n, entry));
+        }
+        assertThat(all).containsAllEntriesOf(answered);
+    }
 }
