--- a/lab/src/main/java/frostreel/lab/processes/Conductor.java
+++ b/lab/src/main/java/frostreel/lab/processes/Conductor.java
@@ -65,6 +65,7 @@
         fleet.start();
         CountDownLatch over = new CountDownLatch(1);
         fleet.begin(experiment.faults());
+        ViewWatch views = new ViewWatch(fleet, experiment.silentAfterMs() > 0 ? experiment.poolers() : 0);
         fleet.onLoop(() -> {
             fleet.at(experiment.durationS() * 1_000_000L, () -> fleet.load().whenAllEnded(over::countDown));
             return null;
@@ -76,6 +77,7 @@
                 out.flush();
             }
         }
+        views.close();
         long apart = apart(experiment, fleet);
         fleet.judge();
         List<String> crashed = fleet.crashed();
@@ -90,6 +92,9 @@
         fleet.rules().rules().stream().flatMap(r -> r.convictions().stream()).forEach(out::println);
         if (keep) {
             keep(experiment, seed, fleet, work, verdicts, good);
+            if (experiment.silentAfterMs() > 0) {
+                Files.writeString(work.resolve("views.csv"), Tables.csv(ViewWatch.COLUMNS, views.rows()));
+            }
         }
         verdicts.forEach(out::println);
         out.println("verdict: " + (good ? "pass" : "fail"));
