End a proposal that finds the channel's queue full, and check lengths in one place

Cause, by reading: a proposal handed to the speaker's full queue was dropped without a word, and the member then proposed nothing more, as it waits for that one's answer (RaftLog.next). Change: RaftLog.send answers it as unknown; the wait between tries ends on the owner's thread. The bounds on messages and entries stand once, in Membership and MajorityLog, instead of twice each.

--- a/cluster/src/main/java/frostreel/cluster/MajorityLog.java
+++ b/cluster/src/main/java/frostreel/cluster/MajorityLog.java
@@ -31,6 +31,13 @@
         void unknown(String why);
     }
 
+    /** Refuses an entry that is too long, for whoever keeps the log. */
+    static void check(byte[] entry) {
+        if (entry.length > MOST_BYTES) {
+            throw new IllegalArgumentException(entry.length + " bytes, at most " + MOST_BYTES);
+        }
+    }
+
     /**
      * Proposes an entry, after those proposed before.
      *
--- a/cluster/src/main/java/frostreel/cluster/Membership.java
+++ b/cluster/src/main/java/frostreel/cluster/Membership.java
@@ -28,6 +28,13 @@
         void failed(String why);
     }
 
+    /** Refuses a message that is too long, for whoever carries them. */
+    static void check(byte[] message) {
+        if (message.length > MOST_BYTES) {
+            throw new IllegalArgumentException(message.length + " bytes, at most " + MOST_BYTES);
+        }
+    }
+
     /** This pooler, in its present life. */
     Peer self();
 
--- a/cluster/src/main/java/frostreel/cluster/jgroups/GroupMembership.java
+++ b/cluster/src/main/java/frostreel/cluster/jgroups/GroupMembership.java
@@ -105,7 +105,7 @@
                     t.setDaemon(true);
                     return t;
                 });
-        log = chosen == null ? null : new RaftLog(self, settings.members().keySet(), folder, this::speak,
+        log = chosen == null ? null : new RaftLog(self, settings.members().keySet(), folder, speaker,
                 this::tell, chosen);
         speaker.execute(this::join);
     }
@@ -193,7 +193,7 @@
     }
 
     @Override public void send(Peer to, byte[] message) {
-        check(message);
+        Membership.check(message);
         speak(() -> {
             org.jgroups.View now = channel.getView();
             if (now != null) {
@@ -207,16 +207,10 @@
     }
 
     @Override public void cast(byte[] message) {
-        check(message);
+        Membership.check(message);
         speak(() -> write(null, message));
     }
 
-    private static void check(byte[] message) {
-        if (message.length > MOST_BYTES) {
-            throw new IllegalArgumentException(message.length + " bytes, at most " + MOST_BYTES);
-        }
-    }
-
     private void speak(Runnable what) {
         try {
             speaker.execute(what);
--- a/cluster/src/main/java/frostreel/cluster/jgroups/RaftLog.java
+++ b/cluster/src/main/java/frostreel/cluster/jgroups/RaftLog.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.concurrent.TimeUnit;
 import org.jgroups.protocols.raft.ELECTION;
 import org.jgroups.protocols.raft.FileBasedLog;
@@ -74,9 +75,7 @@
     }
 
     @Override public void propose(byte[] entry, Outcome outcome) {
-        if (entry.length > MOST_BYTES) {
-            throw new IllegalArgumentException(entry.length + " bytes, at most " + MOST_BYTES);
-        }
+        MajorityLog.check(entry);
         if (waiting.size() >= MOST_WAITING) {
             outcome.unknown("too many proposals wait");
             return;
@@ -90,7 +89,16 @@
         if (p != null) {
             busy = true;
             long endMs = System.nanoTime() / 1_000_000 + MOST_MS;
+            send(p, endMs);
+        }
+    }
+
+    /** Where the channel's queue is full, a proposal must not be waited for that nobody makes. */
+    private void send(Proposal p, long endMs) {
+        try {
             speaker.execute(() -> attempt(p, endMs));
+        } catch (RejectedExecutionException full) {
+            done(p, 0, "the queue to the channel is full");
         }
     }
 
@@ -105,8 +113,8 @@
             if (failure == null) {
                 owner.execute(() -> done(p, ChosenEntries.number(bytes), null));
             } else if (System.nanoTime() / 1_000_000 < endMs) {
-                CompletableFuture.delayedExecutor(AGAIN_MS / 2, TimeUnit.MILLISECONDS, speaker)
-                        .execute(() -> attempt(p, endMs));
+                CompletableFuture.delayedExecutor(AGAIN_MS / 2, TimeUnit.MILLISECONDS, owner)
+                        .execute(() -> send(p, endMs));
             } else {
                 Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
                 owner.execute(() -> done(p, 0, String.valueOf(cause)));
--- a/lab/src/main/java/frostreel/lab/virtual/VirtualGroup.java
+++ b/lab/src/main/java/frostreel/lab/virtual/VirtualGroup.java
@@ -82,14 +82,14 @@
         }
 
         @Override public void send(Peer to, byte[] message) {
-            check(message);
+            Membership.check(message);
             if (!to.equals(self) && view.members().contains(to)) {
                 carry(this, to, message);
             }
         }
 
         @Override public void cast(byte[] message) {
-            check(message);
+            Membership.check(message);
             for (Peer to : view.members()) {
                 if (!to.equals(self)) {
                     carry(this, to, message);
@@ -105,12 +105,6 @@
             }
         }
 
-        private void check(byte[] message) {
-            if (message.length > MOST_BYTES) {
-                throw new IllegalArgumentException(message.length + " bytes, at most " + MOST_BYTES);
-            }
-        }
-
         private void hears(Runnable event) {
             if (gone) {
                 return;
@@ -158,9 +152,7 @@
     }
 
     private void propose(Member m, byte[] entry, MajorityLog.Outcome outcome) {
-        if (entry.length > MajorityLog.MOST_BYTES) {
-            throw new IllegalArgumentException(entry.length + " bytes, at most " + MajorityLog.MOST_BYTES);
-        }
+        MajorityLog.check(entry);
         byte[] copy = entry.clone();
         long untilUs = kernel.now() + PROPOSAL_US;
         kernel.after(2 * usualDelayUs, () -> attempt(m, copy, outcome, untilUs));
