Answer operators' calls: status, servers taken out and back, emptying and filling

Ruled out as cause: the module; it was never told.

Change: frostreel.operation (pure): Orders, OutOfService (a server taken out is shown as draining whatever discovery says, and as just started after the call back), Door (who may come in, who has to leave when; it takes over the timing of SIGTERM unchanged). frostreel.control: a listener with 24 places of its own on the same loop, one line a connection, state first and answer after. SHOW operation, counters, operators' page.

--- /dev/null
+++ b/decisions/src/main/java/frostreel/operation/OutOfService.java
@@ -0,0 +1,91 @@
+package frostreel.operation;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import willowfield.Router;
+
+/**
+ * Lays the operators' word on servers over discovery's. What goes on to the decisions and to the connections
+ * has a server taken out as draining, whatever discovery says meanwhile; the call back passes discovery's
+ * last word on again. Owns discovery's last word on each server; the orders are handed in.
+ */
+public final class OutOfService {
+    /** So many servers that are gone are still known by name: their orders come late, or they come back. */
+    private static final int GONE_KEPT = 256;
+    private final Orders orders;
+    private final Map<String, Router.Member> told = new HashMap<>();
+    private final Set<String> gone = new LinkedHashSet<>();
+
+    public OutOfService(Orders orders) {
+        this.orders = orders;
+    }
+
+    /** Takes a list of discovery's, whole or changes; what is to be passed on instead, in its order. */
+    public List<Router.Member> told(boolean whole, List<Router.Member> members) {
+        if (whole) {
+            Set<String> unlisted = new HashSet<>(told.keySet());
+            members.forEach(m -> unlisted.remove(m.id()));
+            unlisted.forEach(id -> keep(with(told.get(id), Router.State.GONE, told.get(id).startedUs())));
+        }
+        List<Router.Member> shown = new ArrayList<>(members.size());
+        for (Router.Member m : members) {
+            keep(m);
+            shown.add(show(m));
+        }
+        return shown;
+    }
+
+    private void keep(Router.Member m) {
+        told.put(m.id(), m);
+        gone.remove(m.id());
+        if (m.state() == Router.State.GONE) {
+            gone.add(m.id());
+            if (gone.size() > GONE_KEPT) {
+                String oldest = gone.iterator().next();
+                gone.remove(oldest);
+                told.remove(oldest);
+            }
+        }
+    }
+
+    /** Whether discovery has named a server of that id, or an order has. */
+    public boolean knows(String id) {
+        return told.containsKey(id) || orders.of(id) != null;
+    }
+
+    /** What is to be passed on of a server now, null where discovery has not named it. */
+    public Router.Member shown(String id) {
+        Router.Member m = told.get(id);
+        return m == null ? null : show(m);
+    }
+
+    /** The ids of the servers taken out. */
+    public List<String> out() {
+        return orders.all().keySet().stream().filter(orders::inForce).toList();
+    }
+
+    /**
+     * Operators restart a server that is out, and discovery may tell of it seconds after the call back: until
+     * it tells of a start since the server was taken out, the call back counts as one.
+     */
+    private Router.Member show(Router.Member m) {
+        Orders.Order order = orders.of(m.id());
+        if (order == null) {
+            return m;
+        }
+        if (order.inForce()) {
+            return m.state() == Router.State.GONE ? m : with(m, Router.State.DRAINING, m.startedUs());
+        }
+        return with(m, m.state(), m.startedUs() >= order.sinceUs() ? m.startedUs() : order.atUs());
+    }
+
+    private static Router.Member with(Router.Member m, Router.State state, long startedUs) {
+        return new Router.Member(m.id(), m.zone(), m.kind(), m.group(), m.primary(), state, m.weight(),
+                startedUs);
+    }
+}
--- a/lab/src/test/java/frostreel/lab/LayersTest.java
+++ b/lab/src/test/java/frostreel/lab/LayersTest.java
@@ -26,7 +26,8 @@
 class LayersTest {
     /** The simulator's adapter reads and writes streams for the decisions; it decides nothing. */
     private static final DescribedPredicate<JavaClass> DECISIONS = resideInAnyPackage("willowfield..",
-            "frostreel.zones..").and(DescribedPredicate.not(belongToAnyOf(WireAdapter.class)));
+            "frostreel.operation..", "frostreel.zones..")
+            .and(DescribedPredicate.not(belongToAnyOf(WireAdapter.class)));
     private static final JavaClasses ALL = new ClassFileImporter()
             .withImportOption(new ImportOption.DoNotIncludeTests())
             .importPackages("willowfield", "frostreel");
--- a/lab/src/test/java/frostreel/lab/Packages.java
+++ b/lab/src/test/java/frostreel/lab/Packages.java
@@ -8,8 +8,8 @@
     static final List<String> OPTIONAL = List.of("frostreel.cluster",
             "frostreel.cluster.jgroups", "frostreel.fleet", "frostreel.zones");
     static final List<String> SERVING = List.of("frostreel", "frostreel.broker", "frostreel.cli",
-            "frostreel.config", "frostreel.discovery", "frostreel.log", "frostreel.net", "frostreel.pg",
-            "frostreel.settings", "frostreel.stats", "willowfield");
+            "frostreel.config", "frostreel.control", "frostreel.discovery", "frostreel.log", "frostreel.net",
+            "frostreel.operation", "frostreel.pg", "frostreel.settings", "frostreel.stats", "willowfield");
 
     private Packages() {}
 }
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -3,11 +3,14 @@
 import frostreel.broker.Broker;
 import frostreel.config.Config;
 import frostreel.config.HostList;
+import frostreel.control.CallListener;
+import frostreel.control.Operator;
 import frostreel.discovery.Watch;
 import frostreel.fleet.Fellows;
 import frostreel.net.Listener;
 import frostreel.net.Loop;
 import frostreel.net.ServerPool;
+import frostreel.operation.Door;
 import frostreel.settings.OperatorSettings;
 import frostreel.zones.ZoneAdviser;
 import java.io.IOException;
@@ -31,19 +34,17 @@
      * or down and has told nothing yet: to wait on would only keep out a pooler that the others lack.
      */
     static final long KNOWN_PATIENCE_US = 300_000;
-    /** After SIGTERM clients still come for a while; for so long they are served as ever. */
-    private static final long STAY_US = 700_000;
-    /** SIGKILL comes no sooner than the longest deadline, or this where that is longer, and the stay. */
-    private static final long KILL_MOST_US = 3_000_000;
-    /** So long before SIGKILL is due, all that was taken after the stay is answered. */
-    private static final long KILL_MARGIN_US = 400_000;
     private static final long CHECK_US = 20_000;
     private static final long LEAVE_MS = 300;
     private static final Logger LOG = Logger.getLogger(Pooler.class.getName());
     private final Loop loop;
     private final ServerPool pool;
     private final Broker broker;
+    private final Door door;
     private final Listener listener;
+    private final Operator operator;
+    /** Null where operators may not call. */
+    private final CallListener calls;
     private Watch watch;
     /** The list known from the start; null once it is taken. */
     private HostList known;
@@ -55,7 +56,6 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private final long longestUs;
     private final long knownPatienceUs;
-    private boolean ready;
 
     /** Serves by the platform's word and the operators'. */
     public Pooler(Config config, OperatorSettings operators) throws IOException {
@@ -71,9 +71,15 @@
                 config.maxOpen(), (settings, actions) -> router(config, operators, settings, actions));
         longestUs = config.settings().classes().stream().mapToLong(Router.RequestClass::deadlineUs).max()
                 .orElse(0);
-        listener = new Listener(loop, broker, config.settings().classes(), config.maxClients(),
+        door = new Door(false, longestUs);
+        listener = new Listener(loop, broker, door, config.settings().classes(), config.maxClients(),
                 config.usualClients());
         listener.page("stats", () -> loop.counters().toString());
+        operator = new Operator(loop, door, pool, broker, listener::sweep);
+        calls = config.control() == null ? null : new CallListener(loop, operator);
+        if (calls != null) {
+            listener.page("operation", operator::toString);
+        }
         if (advice != null) {
             listener.page("zones", advice::toString);
         }
@@ -103,12 +109,17 @@
         watch.start();
         try {
             listener.open(config.listen());
-            listening.countDown();
             LOG.info("listening on " + listener.address() + " as " + config.name());
+            if (calls != null) {
+                calls.open(config.control());
+                LOG.info("operators call at " + calls.address());
+            }
+            listening.countDown();
             loop.deadlines().after(known.hosts().isEmpty() ? LIST_PATIENCE_US : knownPatienceUs,
                     this::becomeReady);
         } catch (IOException e) {
-            LOG.log(Level.SEVERE, "GW_LISTEN: cannot listen on " + config.listen(), e);
+            LOG.log(Level.SEVERE, "GW_LISTEN, GW_CONTROL: cannot listen on " + config.listen()
+                    + (calls == null ? "" : " and " + config.control()), e);
             new Thread(() -> System.exit(1), "exit").start();
         }
     }
@@ -166,16 +177,13 @@
     }
 
     private void take(HostList list, Router.ListKind kind) {
-        pool.addresses(list.hosts(), kind != Router.ListKind.CHANGES);
-        broker.members(kind, list.hosts().stream().map(HostList.Host::member).toList());
-        pool.withdraw();
+        operator.listed(list, kind);
     }
 
     private void becomeReady() {
-        if (!ready) {
+        if (door.word() == Door.Word.STARTING) {
             takeKnown();
-            ready = true;
-            listener.becomeReady();
+            door.ready();
             LOG.info("ready");
         }
     }
@@ -186,6 +194,12 @@
         return listener.address();
     }
 
+    /** Where operators call, once it listens; null where they may not. */
+    public InetSocketAddress callsAt() throws InterruptedException {
+        listening.await();
+        return calls == null ? null : calls.address();
+    }
+
     /**
      * Serves on, answers all that was taken, and returns. Clients keep using the connections they have for as
      * long as these stay open, and are nowhere better off: so they are served until shortly before SIGKILL is
@@ -193,15 +207,13 @@
      */
     public boolean stop() throws InterruptedException {
         loop.thread().execute(() -> {
-            long lastUs = loop.clock().now() + Math.min(longestUs, KILL_MOST_US) + STAY_US - KILL_MARGIN_US;
-            loop.deadlines().at(lastUs, listener::beginClosing);
-            loop.deadlines().after(STAY_US, () -> {
-                listener.answerBy(lastUs);
-                awaitEnd();
-            });
+            door.end(loop.clock().now());
+            loop.deadlines().at(door.sweepUs(), listener::sweep);
+            loop.deadlines().at(door.lastUs(), listener::sweep);
+            awaitEnd();
         });
         // A client that neither finishes a message nor goes away must not keep the process past SIGKILL.
-        boolean clean = ended.await(longestUs + STAY_US, TimeUnit.MICROSECONDS);
+        boolean clean = ended.await(longestUs + Door.STAY_US, TimeUnit.MICROSECONDS);
         if (fellows != null) {
             fellows.leave(loop, LEAVE_MS);
         }
@@ -210,7 +222,7 @@
     }
 
     private void awaitEnd() {
-        if (listener.open() == 0 && broker.open() == 0) {
+        if (door.mayEnd(loop.clock().now(), listener.open(), broker.open())) {
             ended.countDown();
         } else {
             loop.deadlines().after(CHECK_US, this::awaitEnd);
--- a/pooler/src/main/java/frostreel/config/Config.java
+++ b/pooler/src/main/java/frostreel/config/Config.java
@@ -18,7 +18,8 @@
  * All that the program is told at its start, read and checked here alone. Limits left out get the platform's
  * least: what the pooler must manage with anyway.
  */
-public record Config(String name, InetSocketAddress listen, InetSocketAddress discovery, int maxClients,
+public record Config(String name, InetSocketAddress listen, InetSocketAddress control,
+        InetSocketAddress discovery, int maxClients,
         int usualClients, int maxServerConnections, int maxOpen, HostList known, List<Object> zones,
         List<Object> kinds, Router.Settings settings) {
     private static final int DEFAULT_SOCKETS = 1024;
@@ -36,7 +37,7 @@
 
     /**
      * Reads {@code GW_CONFIG} and, where they are set, {@code GW_NAME}, {@code GW_LISTEN}, {@code
-     * GW_DISCOVERY}.
+     * GW_DISCOVERY}, {@code GW_CONTROL}. Where operators may not call, {@code control} is null.
      */
     public static Config load(Map<String, String> environment) throws ConfigException {
         String file = environment.get("GW_CONFIG");
@@ -79,8 +80,11 @@
         int maxOpen = (int) Math.min(caps.whole("maxOpen", 1, Integer.MAX_VALUE, DEFAULT_OPEN), DEFAULT_OPEN);
         HostList known = f.has("known") ? HostList.read(f.object("known").map(), zones, kinds)
                 : new HostList(0, true, List.of());
+        String control = environment.get("GW_CONTROL");
+        boolean called = f.has("control") || control != null && !control.isEmpty();
         return new Config(told(f, "name", environment, "GW_NAME"),
                 HostList.address(told(f, "listen", environment, "GW_LISTEN"), "listen"),
+                called ? HostList.address(told(f, "control", environment, "GW_CONTROL"), "control") : null,
                 HostList.address(told(f, "discovery", environment, "GW_DISCOVERY"), "discovery"),
                 sockets - maxServers, usual, maxServers, maxOpen, known, zones, kinds,
                 settings);
--- a/pooler/src/main/java/frostreel/net/ClientConnection.java
+++ b/pooler/src/main/java/frostreel/net/ClientConnection.java
@@ -4,11 +4,13 @@
 import frostreel.broker.Caller;
 import frostreel.broker.Deadlines;
 import frostreel.broker.SlotTable;
+import frostreel.operation.Door;
 import frostreel.pg.MessageReader;
 import frostreel.pg.Messages;
 import frostreel.pg.PgException;
 import frostreel.pg.Statement;
 import java.nio.ByteBuffer;
+import java.util.Locale;
 import java.util.function.Supplier;
 import org.xnio.StreamConnection;
 
@@ -189,11 +191,10 @@
     private void query(byte[] body) throws PgException {
         if (Statement.isEmpty(body)) {
             asked = true;
-            if (listener.ready()) {
-                answer(Messages.emptyQueryResponse());
-            } else {
-                answer(Messages.error(false, Messages.STARTING, "the pooler is starting", null));
-            }
+            Door.Word word = listener.word();
+            answer(word == Door.Word.YES ? Messages.emptyQueryResponse()
+                    : Messages.error(false, Messages.STARTING, "takes no clients: "
+                            + word.name().toLowerCase(Locale.ROOT), null));
             return;
         }
         Supplier<String> page = listener.page(body);
--- a/pooler/src/main/java/frostreel/net/Listener.java
+++ b/pooler/src/main/java/frostreel/net/Listener.java
@@ -2,6 +2,7 @@
 
 import frostreel.broker.Broker;
 import frostreel.broker.SlotTable;
+import frostreel.operation.Door;
 import frostreel.pg.Statement;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -38,6 +39,7 @@
     private static final Logger LOG = Logger.getLogger(Listener.class.getName());
     private final Loop loop;
     private final Broker broker;
+    private final Door door;
     private final List<Router.RequestClass> classes;
     private final Map<String, Integer> classNumbers = new HashMap<>();
     private final Map<String, Supplier<String>> pages = new HashMap<>();
@@ -50,17 +52,15 @@
     /** Clients between requests, and clients that have yet to send a whole one; the longest so first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
     private final Set<ClientConnection> owing = new LinkedHashSet<>();
-    private long answerByUs = Long.MAX_VALUE;
     private boolean lookingForRoom;
     private boolean sparing;
-    private boolean ready;
-    private boolean closing;
 
     /** Of the {@code usualClients} that come to ask, three quarters may stay without a bound on idle ones. */
-    public Listener(Loop loop, Broker broker, List<Router.RequestClass> classes, int maxClients,
+    public Listener(Loop loop, Broker broker, Door door, List<Router.RequestClass> classes, int maxClients,
             int usualClients) {
         this.loop = loop;
         this.broker = broker;
+        this.door = door;
         this.classes = classes;
         classes.forEach(c -> classNumbers.put(c.name(), classNumbers.size()));
         this.maxClients = maxClients;
@@ -104,11 +104,6 @@
         }
     }
 
-    /** From now on an empty query is answered as one. */
-    public void becomeReady() {
-        ready = true;
-    }
-
     /** Shows a page to whoever asks for it by SHOW and its name. */
     public void page(String name, Supplier<String> text) {
         pages.put("SHOW " + name + "\0", text);
@@ -120,12 +115,14 @@
                 StandardCharsets.US_ASCII));
     }
 
+    /** Whether those that have yet to ask are closed, too. */
     boolean closing() {
-        return closing;
+        return door.closesAll(loop.clock().now());
     }
 
-    boolean ready() {
-        return ready;
+    /** What the empty query is answered. */
+    Door.Word word() {
+        return door.word();
     }
 
     Broker broker() {
@@ -144,11 +141,11 @@
         return fits ? number : null;
     }
 
-    /** A client has nothing in hand; once the end is near, it is closed then. */
+    /** A client has nothing in hand; where clients are to leave, it is closed then. */
     void rested(ClientConnection c) {
         if (c.restsBetweenRequests()) {
             owing.remove(c);
-            if (closing) {
+            if (door.closesAnswered(loop.clock().now())) {
                 c.closeUnlessAsking();
             } else {
                 idle.add(c);
@@ -233,20 +230,22 @@
         return clients.size() - idle.size() - owing.size() >= maxClients - ROOM;
     }
 
-    /** No request may be in hand after this time: the process may not live longer. */
-    public void answerBy(long us) {
-        answerByUs = us;
-    }
-
+    /** By when a request that comes now has to be answered: the process may not live longer. */
     long answerBy() {
-        return answerByUs;
+        return door.answerByUs(loop.clock().now());
     }
 
-    /** Accepts no more, and closes each client once it is between requests. */
-    public void beginClosing() {
-        closing = true;
-        IoUtils.safeClose(channel);
-        clients.forEach(this::rested);
+    /** Closes whoever is between requests, as the door has it, and accepts no more where that is closed. */
+    public void sweep() {
+        long now = loop.clock().now();
+        if (!door.accepts(now)) {
+            IoUtils.safeClose(channel);
+        }
+        if (door.closesAll(now)) {
+            clients.forEach(this::rested);
+        } else {
+            List.copyOf(idle).forEach(this::rested);
+        }
     }
 
     public int open() {
--- a/pooler/src/main/java/frostreel/net/ServerPool.java
+++ b/pooler/src/main/java/frostreel/net/ServerPool.java
@@ -93,6 +93,14 @@
         }
     }
 
+    /** Takes a word on one server that changes no address; {@link #withdraw} has to follow. */
+    public void state(String id, Router.State state) {
+        Server s = servers.get(id);
+        if (s != null) {
+            is(s, state);
+        }
+    }
+
     private void is(Server s, Router.State state) {
         s.drained |= state == Router.State.DRAINING;
         s.usable = state == Router.State.UP
--- a/pooler/src/main/java/frostreel/net/Stream.java
+++ b/pooler/src/main/java/frostreel/net/Stream.java
@@ -120,7 +120,7 @@
     }
 
     /** Ends our sending once all is with the socket; the other side may still send. */
-    void end() {
+    public void end() {
         ending = true;
         shutWhenFlushed();
     }
--- a/pooler/src/main/java/frostreel/stats/Counters.java
+++ b/pooler/src/main/java/frostreel/stats/Counters.java
@@ -31,6 +31,10 @@
     public long lists;
     public long discoveryFailures;
     public long strayExceptions;
+    /** Operators' calls answered yes, answered no, and callers closed for having said nothing whole. */
+    public long callsDone;
+    public long callsRefused;
+    public long callersSilent;
     private final Map<Outcome, Long> outcomes = new EnumMap<>(Outcome.class);
 
     public void outcome(Outcome o) {
@@ -52,6 +56,8 @@
                 + serverConnectFailures + " server_connections_evicted=" + serverConnectionsEvicted
                 + " reloads=" + reloads + " watches=" + watches + " lists=" + lists
                 + " discovery_failures="
-                + discoveryFailures + " stray_exceptions=" + strayExceptions + " outcomes=" + outcomes;
+                + discoveryFailures + " stray_exceptions=" + strayExceptions + " calls_done=" + callsDone
+                + " calls_refused=" + callsRefused + " callers_silent=" + callersSilent
+                + " outcomes=" + outcomes;
     }
 }
--- /dev/null
+++ b/pooler/src/test/java/frostreel/OperatorsTest.java
@@ -0,0 +1,120 @@
+package frostreel;
+
+import static frostreel.Stage.host;
+import static frostreel.Stage.list;
+import static frostreel.Stage.look;
+import static frostreel.Stage.post;
+import static frostreel.Stage.rows;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** What operators call for, over sockets. */
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class OperatorsTest {
+    private Stage stage;
+    private Stage.Peer primary;
+    private Stage.Peer replica;
+
+    @BeforeEach void raise() throws Exception {
+        stage = new Stage();
+        primary = stage.server(rows("from-primary", "primary"));
+        replica = stage.server(rows("from-replica", "replica"));
+        stage.start(host("a", primary, "primary", "Ready"), host("b", replica, "replica", "Ready"));
+    }
+
+    @AfterEach void strike() throws Exception {
+        stage.strike();
+    }
+
+    private static String value(List<String> answer) {
+        assertThat(answer).as("%s", answer).extracting(m -> m.charAt(0)).containsExactly('T', 'D', 'C');
+        return answer.get(1).substring(7);
+    }
+
+    @Test void aServerTakenOutGetsNothingNewThoughDiscoveryListsItUntilItIsCalledBack() throws Exception {
+        try (Stage.Link c = stage.client()) {
+            assertThat(value(c.ask(look("1", 9000)))).isEqualTo("from-replica");
+            assertThat(stage.call("SUSPEND b")).isEqualTo("OK\n");
+            assertThat(value(c.ask(look("2", 9000)))).isEqualTo("from-primary");
+            stage.told.clear();
+            stage.lists.add(list(2, true, host("a", primary, "primary", "Ready"),
+                    host("b", replica, "replica", "Ready")));
+            stage.told.take();
+            stage.lists.add(list(3, false));
+            stage.told.take(); // The list before was taken, as this call came only after it.
+            assertThat(value(c.ask(look("3", 9000)))).isEqualTo("from-primary");
+            assertThat(stage.call("SUSPEND b")).isEqualTo("OK\n");
+            assertThat(value(c.ask("SHOW operation"))).contains("out=[b]");
+            assertThat(stage.call("RESTORE b")).isEqualTo("OK\n");
+            assertThat(value(c.ask("SHOW operation"))).contains("out=[]");
+            for (int i = 4; replica.heard.size() < 2; i++) { // Cold at first: its share comes by and by.
+                c.ask(look(Integer.toString(i), 9000));
+            }
+        }
+    }
+
+    @Test void aWriteWhosePrimaryIsTakenOutIsRefusedAndNeverReachesIt() throws Exception {
+        replica.script = Stage.errors("25006", "replica");
+        assertThat(stage.call("SUSPEND a")).isEqualTo("OK\n");
+        try (Stage.Link c = stage.client()) {
+            assertThat(c.ask(post("1", 600))).singleElement().asString().contains("|C53300|");
+            assertThat(primary.heard).isEmpty();
+        }
+    }
+
+    @Test void whatNoOneHasOrCanReadIsAnsweredNo() throws Exception {
+        assertThat(stage.call("SUSPEND nobody")).startsWith("ERR ");
+        assertThat(stage.call("RESTORE nobody")).startsWith("ERR ");
+        assertThat(stage.call("RESTORE a")).isEqualTo("OK\n");
+        assertThat(stage.call("STATUS")).isEqualTo("OK\n");
+        for (String line : List.of("", "SUSPEND", "STATUS a", "status", "PAUSE a b", "GET / HTTP/1.1")) {
+            assertThat(stage.call(line)).as(line).startsWith("ERR ");
+        }
+    }
+
+    @Test void silentCallersAndLongLinesKeepNobodyFromCalling() throws Exception {
+        InetSocketAddress at = stage.pooler.callsAt();
+        List<Socket> silent = new ArrayList<>();
+        for (int i = 0; i < 60; i++) {
+            Socket s = new Socket(at.getAddress(), at.getPort());
+            s.getOutputStream().write("STAT".getBytes(StandardCharsets.US_ASCII));
+            silent.add(s);
+        }
+        assertThat(stage.call("STATUS")).isEqualTo("OK\n");
+        assertThat(stage.call("x".repeat(2000))).startsWith("ERR ");
+        for (Socket s : silent) {
+            s.close();
+        }
+    }
+
+    @Test void emptiedItSaysNoAndClosesItsClientsAfterTheirAnswersThenServesAgain() throws Exception {
+        try (Stage.Link kept = stage.client(); Stage.Link idle = stage.client()) {
+            kept.ask(look("1", 9000));
+            idle.ask(look("2", 9000));
+            assertThat(stage.call("PAUSE")).isEqualTo("OK\n");
+            assertThat(stage.call("STATUS")).startsWith("ERR ");
+            try (Stage.Link late = stage.client()) {
+                assertThat(value(late.ask(look("3", 9000)))).as("still dealt out").isNotEmpty();
+                assertThat(late.ask("")).singleElement().asString().contains("|C57P03|");
+                assertThat(late.endsNext()).isTrue();
+            }
+            assertThat(kept.endsNext()).isTrue();
+            assertThat(idle.endsNext()).isTrue();
+            assertThat(stage.call("PAUSE")).isEqualTo("OK\n");
+            assertThat(stage.call("RESUME")).isEqualTo("OK\n");
+            try (Stage.Link c = stage.client()) {
+                assertThat(c.ask("")).containsExactly("I");
+                assertThat(value(c.ask(look("4", 9000)))).isNotEmpty();
+            }
+        }
+    }
+}
--- a/pooler/src/test/java/frostreel/Stage.java
+++ b/pooler/src/test/java/frostreel/Stage.java
@@ -264,8 +264,8 @@
 
     static String configuration(String discovery, String... hosts) {
         return "{\"name\":\"n0\",\"listen\":\"127.0.0.1:0\",\"discovery\":\"" + discovery
-                + "\",\"seed\":\"8c1f\",\"limits\":{\"sockets\":128},\"known\":" + list(0, true, hosts)
-                + ",\"settings\":" + SETTINGS + "}";
+                + "\",\"control\":\"127.0.0.1:0\",\"seed\":\"8c1f\",\"limits\":{\"sockets\":128},"
+                + "\"known\":" + list(0, true, hosts) + ",\"settings\":" + SETTINGS + "}";
     }
 
     private void assertReady() throws Exception {
@@ -288,6 +288,16 @@
         return new Socket(at.getAddress(), at.getPort());
     }
 
+    /** One operator's call: its line, and the line that answers it. */
+    String call(String line) throws Exception {
+        InetSocketAddress at = pooler.callsAt();
+        try (Socket s = new Socket(at.getAddress(), at.getPort())) {
+            s.setSoTimeout(PATIENCE_S * 1000);
+            s.getOutputStream().write((line + "\n").getBytes(StandardCharsets.US_ASCII));
+            return new String(s.getInputStream().readAllBytes(), StandardCharsets.US_ASCII);
+        }
+    }
+
     static byte[] startup() {
         byte[] words = "\0\3\0\0user\0svc\0database\0main\0\0".getBytes(StandardCharsets.ISO_8859_1);
         byte[] out = new byte[words.length + 4];
