--- a/decisions/src/main/java/frostreel/operation/OutOfService.java
+++ b/decisions/src/main/java/frostreel/operation/OutOfService.java
@@ -17,6 +17,8 @@
 public final class OutOfService {
     /** So many servers that are gone are still known by name: their orders come late, or they come back. */
     private static final int GONE_KEPT = 256;
+    /** Orders on servers have names of their own, beside those on other things. */
+    private static final String SERVER = "server ";
     private final Orders orders;
     private final Map<String, Router.Member> told = new HashMap<>();
     private final Set<String> gone = new LinkedHashSet<>();
@@ -53,9 +55,14 @@
         }
     }
 
+    /** The thing that an order on a server is on. */
+    public static String thing(String id) {
+        return SERVER + id;
+    }
+
     /** Whether discovery has named a server of that id, or an order has. */
     public boolean knows(String id) {
-        return told.containsKey(id) || orders.of(id) != null;
+        return told.containsKey(id) || orders.of(thing(id)) != null;
     }
 
     /** What is to be passed on of a server now, null where discovery has not named it. */
@@ -66,7 +73,13 @@
 
     /** The ids of the servers taken out. */
     public List<String> out() {
-        return orders.all().keySet().stream().filter(orders::inForce).toList();
+        return orders.all().keySet().stream().filter(t -> t.startsWith(SERVER) && orders.inForce(t))
+                .map(OutOfService::id).toList();
+    }
+
+    /** The id of the server that an order is on, null where it is on none. */
+    public static String id(String thing) {
+        return thing.startsWith(SERVER) ? thing.substring(SERVER.length()) : null;
     }
 
     /**
@@ -74,7 +87,7 @@
      * it tells of a start since the server was taken out, the call back counts as one.
      */
     private Router.Member show(Router.Member m) {
-        Orders.Order order = orders.of(m.id());
+        Orders.Order order = orders.of(thing(m.id()));
         if (order == null) {
             return m;
         }
--- a/decisions/src/test/java/frostreel/operation/OutOfServiceTest.java
+++ b/decisions/src/test/java/frostreel/operation/OutOfServiceTest.java
@@ -20,7 +20,7 @@
 
     @Test void aServerTakenOutDrainsWhateverDiscoverySaysUntilTheCallBack() {
         out.told(true, List.of(member("a", State.UP, 0), member("b", State.UP, 0)));
-        orders.give(100, "a", true);
+        orders.give(100, OutOfService.thing("a"), true);
         assertThat(out.shown("a").state()).isEqualTo(State.DRAINING);
         assertThat(out.told(false, List.of(member("a", State.UP, 0)))).extracting(Router.Member::state)
                 .containsExactly(State.DRAINING);
@@ -29,14 +29,14 @@
         out.told(false, List.of(member("a", State.GONE, 0)));
         assertThat(out.told(false, List.of(member("a", State.UP, 150)))).extracting(Router.Member::state)
                 .containsExactly(State.DRAINING);
-        orders.give(200, "a", false);
+        orders.give(200, OutOfService.thing("a"), false);
         assertThat(out.shown("a").state()).isEqualTo(State.UP);
     }
 
     @Test void theCallBackCountsAsAStartUntilDiscoveryTellsOfOneSinceItWasTakenOut() {
         out.told(true, List.of(member("a", State.UP, 5)));
-        orders.give(100, "a", true);
-        orders.give(200, "a", false);
+        orders.give(100, OutOfService.thing("a"), true);
+        orders.give(200, OutOfService.thing("a"), false);
         assertThat(out.shown("a").startedUs()).isEqualTo(200);
         assertThat(out.told(false, List.of(member("a", State.UP, 5)))).extracting(Router.Member::startedUs)
                 .containsExactly(200L);
@@ -46,23 +46,23 @@
 
     @Test void oneCallBackIsEnoughForTwoCallsOutAndOneWithoutIsNoFault() {
         out.told(true, List.of(member("a", State.UP, 0)));
-        assertThat(orders.give(50, "a", false)).isFalse();
+        assertThat(orders.give(50, OutOfService.thing("a"), false)).isFalse();
         assertThat(out.shown("a").startedUs()).isZero();
-        orders.give(100, "a", true);
-        assertThat(orders.give(110, "a", true)).isFalse();
-        orders.give(200, "a", false);
+        orders.give(100, OutOfService.thing("a"), true);
+        assertThat(orders.give(110, OutOfService.thing("a"), true)).isFalse();
+        orders.give(200, OutOfService.thing("a"), false);
         assertThat(out.shown("a").state()).isEqualTo(State.UP);
         assertThat(out.out()).isEmpty();
     }
 
     @Test void aServerBroughtBackIsAsDiscoveryLastHadIt() {
         out.told(true, List.of(member("a", State.UP, 0), member("b", State.UP, 0)));
-        orders.give(100, "a", true);
-        orders.give(100, "b", true);
+        orders.give(100, OutOfService.thing("a"), true);
+        orders.give(100, OutOfService.thing("b"), true);
         out.told(false, List.of(member("a", State.DRAINING, 0)));
         out.told(true, List.of(member("a", State.DRAINING, 0)));
-        orders.give(200, "a", false);
-        orders.give(200, "b", false);
+        orders.give(200, OutOfService.thing("a"), false);
+        orders.give(200, OutOfService.thing("b"), false);
         assertThat(out.shown("a").state()).isEqualTo(State.DRAINING);
         assertThat(out.shown("b").state()).isEqualTo(State.GONE);
     }
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -71,11 +71,12 @@
                 config.maxOpen(), (settings, actions) -> router(config, operators, settings, actions));
         longestUs = config.settings().classes().stream().mapToLong(Router.RequestClass::deadlineUs).max()
                 .orElse(0);
-        door = new Door(false, longestUs);
+        door = new Door(config.inherits(), longestUs);
         listener = new Listener(loop, broker, door, config.settings().classes(), config.maxClients(),
                 config.usualClients());
         listener.page("stats", () -> loop.counters().toString());
-        operator = new Operator(loop, door, pool, broker, listener::sweep);
+        operator = new Operator(loop, door, pool, broker, listener::sweep, config.orders(),
+                Long.toHexString(config.settings().seed()) + "x" + Long.toHexString(loop.clock().now()));
         calls = config.control() == null ? null : new CallListener(loop, operator);
         if (calls != null) {
             listener.page("operation", operator::toString);
@@ -106,9 +107,10 @@
     }
 
     private void start(Config config) {
+        operator.start();
         watch.start();
         try {
-            listener.open(config.listen());
+            listener.open(config.listen(), config.inherits());
             LOG.info("listening on " + listener.address() + " as " + config.name());
             if (calls != null) {
                 calls.open(config.control());
@@ -184,6 +186,7 @@
         if (door.word() == Door.Word.STARTING) {
             takeKnown();
             door.ready();
+            listener.sweep();
             LOG.info("ready");
         }
     }
@@ -208,6 +211,7 @@
     public boolean stop() throws InterruptedException {
         loop.thread().execute(() -> {
             door.end(loop.clock().now());
+            listener.sweep();
             loop.deadlines().at(door.sweepUs(), listener::sweep);
             loop.deadlines().at(door.lastUs(), listener::sweep);
             awaitEnd();
@@ -217,10 +221,14 @@
         if (fellows != null) {
             fellows.leave(loop, LEAVE_MS);
         }
-        loop.end();
         return clean;
     }
 
+    /** Ends the loop, and with it every socket; an inherited one takes standard output and error with it. */
+    public void close() throws InterruptedException {
+        loop.end();
+    }
+
     private void awaitEnd() {
         if (door.mayEnd(loop.clock().now(), listener.open(), broker.open())) {
             ended.countDown();
--- a/pooler/src/main/java/frostreel/cli/Rehearsal.java
+++ b/pooler/src/main/java/frostreel/cli/Rehearsal.java
@@ -60,6 +60,7 @@
             }
         }
         pooler.stop();
+        pooler.close();
     }
 
     private static void skipAnswer(DataInputStream in) throws IOException {
--- a/pooler/src/main/java/frostreel/cli/Serve.java
+++ b/pooler/src/main/java/frostreel/cli/Serve.java
@@ -76,9 +76,10 @@
             if (!pooler.stop()) {
                 System.err.println("frostreel: stopped with clients still connected");
             }
+            System.out.println("frostreel: " + pooler.counters());
+            pooler.close();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
-        System.out.println("frostreel: " + pooler.counters());
     }
 }
--- a/pooler/src/main/java/frostreel/config/Config.java
+++ b/pooler/src/main/java/frostreel/config/Config.java
@@ -19,7 +19,7 @@
  * least: what the pooler must manage with anyway.
  */
 public record Config(String name, InetSocketAddress listen, InetSocketAddress control,
-        InetSocketAddress discovery, int maxClients,
+        boolean inherits, Path orders, InetSocketAddress discovery, int maxClients,
         int usualClients, int maxServerConnections, int maxOpen, HostList known, List<Object> zones,
         List<Object> kinds, Router.Settings settings) {
     private static final int DEFAULT_SOCKETS = 1024;
@@ -37,7 +37,9 @@
 
     /**
      * Reads {@code GW_CONFIG} and, where they are set, {@code GW_NAME}, {@code GW_LISTEN}, {@code
-     * GW_DISCOVERY}, {@code GW_CONTROL}. Where operators may not call, {@code control} is null.
+     * GW_DISCOVERY}, {@code GW_CONTROL}. Where operators may not call, {@code control} is null, and so is
+     * {@code orders}, the folder in which their orders outlast an end; where {@code GW_FD} says so, the
+     * process {@code inherits} the clients' listening socket as descriptor 0.
      */
     public static Config load(Map<String, String> environment) throws ConfigException {
         String file = environment.get("GW_CONFIG");
@@ -80,11 +82,21 @@
         int maxOpen = (int) Math.min(caps.whole("maxOpen", 1, Integer.MAX_VALUE, DEFAULT_OPEN), DEFAULT_OPEN);
         HostList known = f.has("known") ? HostList.read(f.object("known").map(), zones, kinds)
                 : new HostList(0, true, List.of());
+        String inherited = environment.getOrDefault("GW_FD", "");
+        if (!inherited.isEmpty() && !inherited.equals("0")) {
+            throw new Malformed("GW_FD is not 0, the one descriptor by which a socket is taken over");
+        }
+        boolean inherits = !inherited.isEmpty();
+        if (inherits) {
+            maxServers = Math.min(maxServers, Math.max(1, (sockets - usual - OWN_SOCKETS) / 2));
+        }
         String control = environment.get("GW_CONTROL");
         boolean called = f.has("control") || control != null && !control.isEmpty();
         return new Config(told(f, "name", environment, "GW_NAME"),
                 HostList.address(told(f, "listen", environment, "GW_LISTEN"), "listen"),
                 called ? HostList.address(told(f, "control", environment, "GW_CONTROL"), "control") : null,
+                inherits, called && environment.get("TMPDIR") != null
+                        ? Path.of(environment.get("TMPDIR"), "frostreel-orders") : null,
                 HostList.address(told(f, "discovery", environment, "GW_DISCOVERY"), "discovery"),
                 sockets - maxServers, usual, maxServers, maxOpen, known, zones, kinds,
                 settings);
--- a/pooler/src/main/java/frostreel/control/CallConnection.java
+++ b/pooler/src/main/java/frostreel/control/CallConnection.java
@@ -46,9 +46,12 @@
         while (in.hasRemaining() && !answered) {
             byte b = in.get();
             if (b == '\n') {
-                answer(listener.operator().call(new String(line, 0, length, StandardCharsets.US_ASCII)));
+                answered = true;
+                listener.operator().call(new String(line, 0, length, StandardCharsets.US_ASCII),
+                        this::answer);
             } else if (length == MOST_BYTES) {
                 loop.counters().callsRefused++;
+                answered = true;
                 answer("ERR a line of more than " + MOST_BYTES + " bytes");
             } else {
                 line[length++] = b;
@@ -57,7 +60,6 @@
     }
 
     private void answer(String text) {
-        answered = true;
         stream.write((text + "\n").getBytes(StandardCharsets.US_ASCII));
         stream.end();
         if (!closed) {
--- a/pooler/src/main/java/frostreel/control/Operator.java
+++ b/pooler/src/main/java/frostreel/control/Operator.java
@@ -7,9 +7,12 @@
 import frostreel.operation.Door;
 import frostreel.operation.Orders;
 import frostreel.operation.OutOfService;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
+import java.util.Map;
+import java.util.function.Consumer;
 import java.util.logging.Logger;
 import willowfield.Router;
 
@@ -19,21 +22,72 @@
  */
 public final class Operator {
     private static final Logger LOG = Logger.getLogger(Operator.class.getName());
+    /** The thing that an order to take no clients is on. */
+    private static final String CLIENTS = "clients";
     private final Loop loop;
     private final Door door;
     private final ServerPool pool;
     private final Broker broker;
     private final Runnable sweep;
-    private final Orders servers = new Orders();
-    private final OutOfService outOfService = new OutOfService(servers);
+    private final Orders orders = new Orders();
+    private final OutOfService outOfService = new OutOfService(orders);
+    /** Null where nothing outlasts an end. */
+    private final OrderKeeper keeper;
+    private int given;
 
-    /** {@code sweep}: looks through the clients, as the door then has it. */
-    public Operator(Loop loop, Door door, ServerPool pool, Broker broker, Runnable sweep) {
+    /**
+     * {@code sweep}: looks through the clients, as the door then has it; {@code folder}: where orders outlast
+     * an end, null for nowhere; {@code life}: this process's own name among those that keep orders there.
+     */
+    public Operator(Loop loop, Door door, ServerPool pool, Broker broker, Runnable sweep, Path folder,
+            String life) {
         this.loop = loop;
         this.door = door;
         this.pool = pool;
         this.broker = broker;
         this.sweep = sweep;
+        keeper = folder == null ? null : new OrderKeeper(loop, folder, life);
+    }
+
+    /** Takes over what other lives left, and from then on what others hear; before the first list. */
+    public void start() {
+        if (keeper != null) {
+            taken(keeper.start());
+            if (!orders.all().isEmpty()) { // The files of older lives do not stay for good.
+                keeper.keep(Map.copyOf(orders.all()), failure -> { });
+            }
+            keeper.watch(this::taken);
+        }
+    }
+
+    private void taken(Map<String, Orders.Order> heard) {
+        heard.forEach((thing, order) -> {
+            if (orders.take(thing, order)) {
+                LOG.info("operators, by another process: " + thing
+                        + (order.inForce() ? " in force" : " ended"));
+                carryOut(thing);
+            }
+        });
+    }
+
+    /** Brings what an order is on into the state that it is in now. */
+    private void carryOut(String thing) {
+        if (thing.equals(CLIENTS)) {
+            if (orders.inForce(thing)) {
+                door.empty(loop.clock().now());
+                loop.deadlines().at(door.sweepUs(), sweep);
+            } else {
+                door.fill();
+            }
+            return;
+        }
+        String id = OutOfService.id(thing);
+        Router.Member shown = id == null ? null : outOfService.shown(id);
+        if (shown != null) {
+            pool.state(id, shown.state());
+            broker.members(Router.ListKind.CHANGES, List.of(shown));
+            pool.withdraw();
+        }
     }
 
     /** Takes discovery's word, or the list known from the start; all members come through here. */
@@ -50,9 +104,10 @@
         pool.withdraw();
     }
 
-    /** Answers one call: a line that begins with OK or with ERR. */
-    String call(String line) {
+    /** Answers one call by a line that begins with OK or with ERR, once that is true. */
+    void call(String line, Consumer<String> caller) {
         String[] words = line.trim().split(" +");
+        int before = given;
         String answer = switch (words.length == 1 ? words[0] : words.length == 2 ? words[0] + " ID" : "") {
             case "STATUS" -> door.word() == Door.Word.YES ? "OK" : no(state());
             case "PAUSE" -> empty();
@@ -61,13 +116,22 @@
             case "RESTORE ID" -> server(words[1], false);
             default -> no("no such call: STATUS, SUSPEND ID, RESTORE ID, PAUSE, RESUME");
         };
+        if (given == before || keeper == null) {
+            answer(line, answer, caller);
+        } else {
+            keeper.keep(Map.copyOf(orders.all()), failure -> answer(line, failure == null ? answer
+                    : answer + " but " + failure, caller));
+        }
+    }
+
+    private void answer(String line, String answer, Consumer<String> caller) {
         if (answer.startsWith("OK")) {
             loop.counters().callsDone++;
         } else {
             loop.counters().callsRefused++;
         }
         LOG.info("operators: " + line.replaceAll("[^ -~]", "?") + ": " + answer);
-        return answer;
+        caller.accept(answer);
     }
 
     private String state() {
@@ -79,16 +143,21 @@
     }
 
     private String empty() {
-        door.empty(loop.clock().now());
-        loop.deadlines().at(door.sweepUs(), sweep);
-        return "OK";
+        return order(CLIENTS, true);
     }
 
     private String fill() {
         if (door.word() == Door.Word.STOPPING) {
             return no("stopping");
         }
-        door.fill();
+        return order(CLIENTS, false);
+    }
+
+    private String order(String thing, boolean inForce) {
+        if (orders.give(loop.clock().now(), thing, inForce)) {
+            given++;
+            carryOut(thing);
+        }
         return "OK";
     }
 
@@ -96,15 +165,7 @@
         if (!outOfService.knows(id)) {
             return no("no server has that id");
         }
-        if (servers.give(loop.clock().now(), id, out)) {
-            Router.Member shown = outOfService.shown(id);
-            if (shown != null) {
-                pool.state(id, shown.state());
-                broker.members(Router.ListKind.CHANGES, List.of(shown));
-                pool.withdraw();
-            }
-        }
-        return "OK";
+        return order(OutOfService.thing(id), out);
     }
 
     /** What is in force, for whoever asks by {@code SHOW operation}. */
--- /dev/null
+++ b/pooler/src/main/java/frostreel/control/OrderFolder.java
@@ -0,0 +1,152 @@
+package frostreel.control;
+
+import frostreel.operation.Orders;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.DirectoryStream;
+import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.nio.file.StandardOpenOption;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import java.util.logging.Logger;
+import java.util.zip.CRC32C;
+import org.json.JSONException;
+import org.json.JSONObject;
+
+/**
+ * Where the orders of this process and of those that serve beside it outlast an end: a folder with one file
+ * of each life, whose name changes with each writing. Only a life's own process writes its file, so that two
+ * never undo each other's orders. Used by one thread at a time, which may block.
+ */
+final class OrderFolder {
+    private static final int VERSION = 1;
+    private static final String SUFFIX = ".orders";
+    /** Far more than operators ever have in force; a longer file is none of ours. */
+    private static final int MOST_BYTES = 1 << 18;
+    /** Files of so many lives are kept; the rest were taken over long ago. */
+    private static final int MOST_LIVES = 16;
+    private static final Logger LOG = Logger.getLogger(OrderFolder.class.getName());
+    private final Path folder;
+    private final String life;
+    private final Set<String> seen = new HashSet<>();
+    private int written;
+
+    /** {@code life}: this process's own name, which no other life has or had; plain letters and digits. */
+    OrderFolder(Path folder, String life) {
+        this.folder = folder;
+        this.life = life;
+    }
+
+    /** Puts these in the place of what this life wrote before; on its return they outlast an end. */
+    void write(Map<String, Orders.Order> orders) throws IOException {
+        Files.createDirectories(folder);
+        JSONObject all = new JSONObject();
+        orders.forEach((thing, o) -> all.put(thing, new JSONObject().put("inForce", o.inForce())
+                .put("sinceUs", o.sinceUs()).put("atUs", o.atUs())));
+        byte[] text = new JSONObject().put("version", VERSION).put("life", life).put("orders", all).toString()
+                .getBytes(StandardCharsets.UTF_8);
+        byte[] head = (checksum(text) + "\n").getBytes(StandardCharsets.US_ASCII);
+        Path fresh = folder.resolve(life + ".new");
+        try (FileChannel out = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
+                StandardOpenOption.TRUNCATE_EXISTING)) {
+            ByteBuffer bytes = ByteBuffer.allocate(head.length + text.length).put(head).put(text).flip();
+            while (bytes.hasRemaining()) {
+                out.write(bytes);
+            }
+            out.force(true);
+        }
+        String name = name(written + 1);
+        Files.move(fresh, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE);
+        seen.add(name);
+        Files.deleteIfExists(folder.resolve(name(written)));
+        written++;
+        try (FileChannel f = FileChannel.open(folder, StandardOpenOption.READ)) {
+            f.force(true);
+        }
+    }
+
+    private String name(int number) {
+        return String.format("%s-%08d%s", life, number, SUFFIX);
+    }
+
+    private static String checksum(byte[] text) {
+        CRC32C crc = new CRC32C();
+        crc.update(text);
+        return String.format("%08x", crc.getValue());
+    }
+
+    /**
+     * What other lives have written since the last call, the later order on each thing; a file that is
+     * damaged or of another version is named in the log once, and left out.
+     */
+    Map<String, Orders.Order> read() throws IOException {
+        Orders found = new Orders();
+        Set<String> there = new TreeSet<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, "*" + SUFFIX)) {
+            files.forEach(f -> there.add(f.getFileName().toString()));
+        } catch (NoSuchFileException e) {
+            return Map.of(); // Nobody has written yet.
+        }
+        seen.retainAll(there);
+        for (String name : there) {
+            if (seen.add(name)) {
+                try {
+                    orders(Files.readAllBytes(folder.resolve(name))).forEach(found::take);
+                } catch (NoSuchFileException e) {
+                    seen.remove(name); // Its writer has put another in its place: that is read next time.
+                } catch (IOException | JSONException e) {
+                    LOG.warning("orders in " + name + " are left out: " + e.getMessage());
+                }
+            }
+        }
+        return found.all();
+    }
+
+    private static Map<String, Orders.Order> orders(byte[] file) throws IOException {
+        int end = 8;
+        if (file.length > MOST_BYTES || file.length <= end || file[end] != '\n') {
+            throw new IOException("a file of " + file.length + " bytes without its checksum");
+        }
+        byte[] text = new byte[file.length - end - 1];
+        System.arraycopy(file, end + 1, text, 0, text.length);
+        if (!checksum(text).equals(new String(file, 0, end, StandardCharsets.US_ASCII))) {
+            throw new IOException("its checksum does not fit");
+        }
+        JSONObject json = new JSONObject(new String(text, StandardCharsets.UTF_8));
+        if (json.getInt("version") != VERSION) {
+            throw new IOException("version " + json.getInt("version") + " is not known here");
+        }
+        Map<String, Orders.Order> orders = new HashMap<>();
+        JSONObject all = json.getJSONObject("orders");
+        for (String thing : all.keySet()) {
+            JSONObject o = all.getJSONObject(thing);
+            orders.put(thing, new Orders.Order(o.getBoolean("inForce"), o.getLong("sinceUs"),
+                    o.getLong("atUs")));
+        }
+        return orders;
+    }
+
+    /** Removes what the oldest lives left; what they held has been taken over by a life since. */
+    void clean() throws IOException {
+        TreeMap<Long, Path> byAge = new TreeMap<>();
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, "*" + SUFFIX)) {
+            for (Path f : files) {
+                byAge.merge(Files.getLastModifiedTime(f).toMillis(), f, (a, b) -> a);
+            }
+        } catch (NoSuchFileException e) {
+            return;
+        }
+        while (byAge.size() > MOST_LIVES) {
+            Files.deleteIfExists(byAge.pollFirstEntry().getValue());
+        }
+    }
+}
--- a/pooler/src/main/java/frostreel/net/Listener.java
+++ b/pooler/src/main/java/frostreel/net/Listener.java
@@ -19,6 +19,7 @@
 import org.xnio.Options;
 import org.xnio.StreamConnection;
 import org.xnio.channels.AcceptingChannel;
+import org.xnio.nio.InheritedServer;
 import willowfield.Router;
 
 /** Owns the listening socket and the clients' connections, up to their cap. */
@@ -49,6 +50,7 @@
     private final int idleBound;
     private final SlotTable<ClientConnection> clients;
     private AcceptingChannel<StreamConnection> channel;
+    private boolean inherited;
     /** Clients between requests, and clients that have yet to send a whole one; the longest so first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
     private final Set<ClientConnection> owing = new LinkedHashSet<>();
@@ -69,13 +71,22 @@
         clients = new SlotTable<>(maxClients + 1);
     }
 
-    /** Listens; past the cap of connections no more are accepted until some have closed. */
-    public void open(InetSocketAddress address) throws IOException {
-        channel = loop.worker().createStreamConnectionServer(address, this::accept, OptionMap.builder()
+    /**
+     * Listens; past the cap of connections no more are accepted until some have closed. A socket that was
+     * inherited is listened on by another process as well, so nothing is accepted until {@link #sweep} finds
+     * the door open.
+     */
+    public void open(InetSocketAddress address, boolean inherits) throws IOException {
+        OptionMap options = OptionMap.builder()
                 .set(Options.TCP_NODELAY, true).set(Options.REUSE_ADDRESSES, true)
                 .set(Options.BACKLOG, BACKLOG).set(Options.CONNECTION_HIGH_WATER, maxClients)
-                .set(Options.CONNECTION_LOW_WATER, maxClients - 1).getMap());
-        channel.resumeAccepts();
+                .set(Options.CONNECTION_LOW_WATER, maxClients - 1).getMap();
+        inherited = inherits;
+        channel = inherits ? InheritedServer.open(loop.worker(), this::accept, options)
+                : loop.worker().createStreamConnectionServer(address, this::accept, options);
+        if (door.accepts(loop.clock().now())) {
+            channel.resumeAccepts();
+        }
     }
 
     public InetSocketAddress address() {
@@ -238,9 +249,16 @@
     /** Closes whoever is between requests, as the door has it, and accepts no more where that is closed. */
     public void sweep() {
         long now = loop.clock().now();
-        if (!door.accepts(now)) {
+        if (door.accepts(now)) {
+            channel.resumeAccepts();
+        } else if (inherited) {
+            channel.suspendAccepts(); // What waits there is the other process's.
+        } else {
             IoUtils.safeClose(channel);
         }
+        if (now < door.sweepUs()) {
+            return;
+        }
         if (door.closesAll(now)) {
             clients.forEach(this::rested);
         } else {
--- a/pooler/src/test/java/frostreel/Stage.java
+++ b/pooler/src/test/java/frostreel/Stage.java
@@ -363,6 +363,7 @@
         }
         if (pooler != null) {
             pooler.stop();
+            pooler.close();
         }
     }
 }
--- /dev/null
+++ b/pooler/src/test/java/frostreel/control/OrderFolderTest.java
@@ -0,0 +1,80 @@
+package frostreel.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import frostreel.operation.Orders;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.attribute.FileTime;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class OrderFolderTest {
+    private static final Map<String, Orders.Order> OUT = Map.of("server a", new Orders.Order(true, 5, 5));
+    @TempDir Path dir;
+
+    private OrderFolder life(String name) {
+        return new OrderFolder(dir.resolve("orders"), name);
+    }
+
+    private List<Path> files() throws IOException {
+        try (Stream<Path> all = Files.list(dir.resolve("orders"))) {
+            return all.sorted().toList();
+        }
+    }
+
+    @Test void whatOneLifeWroteTheNextFindsAndItsOwnIsNotNews() throws Exception {
+        OrderFolder one = life("one");
+        assertThat(one.read()).as("nobody has written").isEmpty();
+        one.write(OUT);
+        one.write(OUT);
+        assertThat(files()).as("one file a life").hasSize(1);
+        assertThat(one.read()).isEmpty();
+        OrderFolder two = life("two");
+        assertThat(two.read()).isEqualTo(OUT);
+        assertThat(two.read()).as("read once").isEmpty();
+        Map<String, Orders.Order> later = Map.of("server a", new Orders.Order(false, 5, 9));
+        two.write(later);
+        assertThat(one.read()).isEqualTo(later);
+        assertThat(life("three").read()).as("the later order holds").isEqualTo(later);
+    }
+
+    @Test void aFileCutOrChangedAnywhereIsLeftOutWhole() throws Exception {
+        life("one").write(OUT);
+        Path file = files().get(0);
+        byte[] whole = Files.readAllBytes(file);
+        for (int i = 0; i < whole.length; i++) {
+            Files.write(file, Arrays.copyOf(whole, i));
+            assertThat(life("two").read()).as("cut at %d", i).isEmpty();
+            byte[] changed = whole.clone();
+            changed[i] ^= 4;
+            Files.write(file, changed);
+            assertThat(life("two").read()).as("changed at %d", i).isEmpty();
+        }
+        Files.write(file, whole);
+        assertThat(life("two").read()).isEqualTo(OUT);
+    }
+
+    @Test void aFolderThatTakesNothingFailsAndDisturbsNobody() throws Exception {
+        Files.writeString(dir.resolve("orders"), "a file in its place");
+        assertThatThrownBy(() -> life("one").write(OUT)).isInstanceOf(IOException.class);
+        assertThatThrownBy(() -> life("one").read()).isInstanceOf(IOException.class);
+    }
+
+    @Test void filesOfManyLivesDoNotPileUp() throws Exception {
+        for (int i = 0; i < 40; i++) {
+            life("life" + i).write(OUT);
+            Files.setLastModifiedTime(dir.resolve("orders/life" + i + "-00000001.orders"),
+                    FileTime.fromMillis(i));
+        }
+        life("last").clean();
+        assertThat(files()).hasSize(16);
+        assertThat(life("last").read()).isEqualTo(OUT);
+    }
+}
