Take over all settings at SIGHUP in one step, or refuse the file whole

Cause, seen by a probe that printed each file: only discovery's address was taken over; classes added were unknown (45% of requests failed after the fourth file), and a file with deadlineS -5 was taken for its address alone (rule on drains broken).

Change: ClassTable (numbers that keep their meaning, the stricter rules for 1.2 s), Router.onSettings, attempts bound by each request, config.Shape (each key of the file in force must be there), a deadline above 0. A discovery that is named as before keeps its watch.

Tests cut a file at every byte and leave out every key. In the full test run one lab test that this does not touch (MajorityLogTest, cut off while it proposes) timed out; it passed an hour before and is looked at next.

--- a/decisions/src/main/java/frostreel/operation/Door.java
+++ b/decisions/src/main/java/frostreel/operation/Door.java
@@ -26,7 +26,7 @@
     private static final long KILL_MARGIN_US = 400_000;
     private static final long NEVER = Long.MAX_VALUE;
     private final boolean shared;
-    private final long longestUs;
+    private volatile long longestUs;
     private boolean ready;
     private long emptiedUs = NEVER;
     private long endedUs = NEVER;
@@ -40,6 +40,16 @@
         this.longestUs = longestUs;
     }
 
+    /** Other settings have another longest deadline of a request. */
+    public void longest(long us) {
+        longestUs = us;
+    }
+
+    /** For so long at the most an end is waited for; from any thread. */
+    public long longUs() {
+        return longestUs + STAY_US;
+    }
+
     /** Servers are known: serving may begin. */
     public void ready() {
         ready = true;
--- a/decisions/src/main/java/frostreel/zones/ZoneAdviser.java
+++ b/decisions/src/main/java/frostreel/zones/ZoneAdviser.java
@@ -35,7 +35,7 @@
     /** Classes are put in order again after so many reads. */
     private static final int ORDER_EVERY = 500;
 
-    private final Router.Settings set;
+    private Router.Settings set;
     private ZoneSettings zones;
     private final double phase;
     private final Map<Long, Area> areas = new HashMap<>();
@@ -55,19 +55,25 @@
     /** What the lost and returning areas of nearest tiers served. */
     private double missing;
     private boolean everServed;
-    private final double[] work;
-    private final double[] reserve;
+    private double[] work = {};
+    private double[] reserve = {};
     private int untilOrder = ORDER_EVERY;
     private double anyWork;
 
     /** {@code phase}: at least 0 and under 1, drawn anew for each pooler. */
     public ZoneAdviser(Router.Settings settings, ZoneSettings zones, double phase) {
-        set = settings;
         this.phase = phase;
         configure(zones);
-        work = new double[settings.classes().size()];
-        reserve = new double[work.length];
-        for (int c = 0; c < work.length; c++) {
+        settings(settings);
+    }
+
+    /** What is known of the classes that were there before stays. */
+    @Override public void settings(Router.Settings settings) {
+        set = settings;
+        int known = work.length;
+        work = Arrays.copyOf(work, settings.classes().size());
+        reserve = Arrays.copyOf(reserve, work.length);
+        for (int c = known; c < work.length; c++) {
             work[c] = settings.classes().get(c).aimUs() / 5.0;
         }
         anyWork = Arrays.stream(work).min().orElse(1);
--- a/decisions/src/main/java/willowfield/Brain.java
+++ b/decisions/src/main/java/willowfield/Brain.java
@@ -1,6 +1,7 @@
 package willowfield;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Iterator;
 import java.util.LinkedHashMap;
@@ -125,6 +126,7 @@
         final Group g;
         final long arrivedUs;
         final boolean toHead;
+        final int mostAttempts = set.limits().maxAttempts();
         final ArrayList<Node> missed = new ArrayList<>(4);
         Node on;
         int attempts;
@@ -140,11 +142,12 @@
         }
     }
 
-    private final Settings set;
+    private Settings set;
     private final Actions act;
     private final Adviser advice;
-    private final long sweepUs, keepUs;
-    private final double[] expect;
+    private final long sweepUs;
+    private long keepUs;
+    private double[] expect = {};
     private final Map<String, Node> nodes = new HashMap<>();
     private final Map<Integer, Group> groups = new TreeMap<>();
     /** The groups in which a request waits unsent; the sweep runs while there is one, over these alone. */
@@ -168,22 +171,27 @@
     }
 
     public Brain(Settings settings, Actions actions, Adviser adviser) {
-        set = settings;
         act = actions;
         advice = adviser;
         sweepUs = Math.max(settings.tickUs(), WALK_US / 50);
-        expect = new double[settings.classes().size()];
-        long longest = 0;
-        for (int i = 0; i < expect.length; i++) {
-            longest = Math.max(longest, settings.classes().get(i).deadlineUs());
-            expect[i] = settings.classes().get(i).aimUs() / 5.0;
-            work = Math.min(work, expect[i]);
-        }
-        keepUs = KEEP * longest;
+        onSettings(settings);
+        work = Arrays.stream(expect).min().orElse(work);
         draw = new SplittableRandom(settings.seed());
         turnSeed = (int) (draw.nextLong() >>> 40);
     }
 
+    @Override public void onSettings(Settings settings) {
+        set = settings;
+        int known = expect.length;
+        expect = Arrays.copyOf(expect, settings.classes().size());
+        for (int i = 0; i < expect.length; i++) {
+            RequestClass k = settings.classes().get(i);
+            keepUs = Math.max(keepUs, KEEP * k.deadlineUs());
+            expect[i] = i < known ? expect[i] : k.aimUs() / 5.0;
+        }
+        advice.settings(settings);
+    }
+
     // ---- The chain: who heads a group, and by what evidence. ----
 
     @Override public void onMembers(long now, ListKind kind, List<Member> members) {
@@ -442,7 +450,7 @@
 
     /** Whether nothing more may be tried: time, attempts or the key's window have run out. */
     private boolean spent(long now, Call c) {
-        return now + 2 * sweepUs >= c.q.deadlineUs() || c.attempts >= set.limits().maxAttempts()
+        return now + 2 * sweepUs >= c.q.deadlineUs() || c.attempts >= c.mostAttempts
                 || c.mayHaveRun && (c.k.repeat() == Repeat.UNSAFE
                         || c.k.repeat() == Repeat.KEYED && now + sweepUs > c.firstMaybe + c.k.windowUs());
     }
@@ -488,7 +496,7 @@
             return left;
         }
         long t = (long) Math.max(c.k.aimUs(), SILENCE * expected(c, n, now));
-        boolean again = c.attempts + 1 < set.limits().maxAttempts() && (c.k.repeat() == Repeat.SAFE
+        boolean again = c.attempts + 1 < c.mostAttempts && (c.k.repeat() == Repeat.SAFE
                         || now + t + sweepUs < (c.mayHaveRun ? c.firstMaybe : now) + c.k.windowUs());
         return again ? Math.min(left, t) : left;
     }
--- a/decisions/src/main/java/willowfield/NearFirst.java
+++ b/decisions/src/main/java/willowfield/NearFirst.java
@@ -10,6 +10,8 @@
         own = ownZone;
     }
 
+    @Override public void settings(Router.Settings settings) {}
+
     @Override public int seat(int group, int zone) {
         return zone;
     }
--- a/decisions/src/main/java/willowfield/Router.java
+++ b/decisions/src/main/java/willowfield/Router.java
@@ -60,7 +60,16 @@
 
     /** All that a router is told at its start; {@code instances}: how many there are, 0 where not told. */
     record Settings(long seed, int instances, int zone, long tickUs, List<RequestClass> classes,
-            Checks checks, ListRole listRole, Marks marks, boolean positions, Limits limits, Rules rules) {}
+            Checks checks, ListRole listRole, Marks marks, boolean positions, Limits limits, Rules rules) {
+        /** The same but for the classes and the number of attempts. */
+        public Settings with(List<RequestClass> other, int maxAttempts) {
+            Limits l = new Limits(maxAttempts, limits.probes, limits.cancel, limits.retryAdvice,
+                    limits.maxAdviceUs, limits.subscribe, limits.askWithinUs, limits.connectTimeoutUs,
+                    limits.holdsForUs, limits.idleCloseUs, limits.perLink);
+            return new Settings(seed, instances, zone, tickUs, other, checks, listRole, marks, positions, l,
+                    rules);
+        }
+    }
 
     /** A list entry; {@code startedUs} is 0 for the distant past. */
     record Member(String id, int zone, int kind, int group, boolean primary, State state, double weight,
@@ -81,6 +90,9 @@
      * answers at once, and never acts. Members are named by the seats that it gave them.
      */
     interface Adviser {
+        /** New settings, as in {@link Router#onSettings}. */
+        void settings(Settings settings);
+
         /** A member newly met takes a seat, for good or until {@link #left}. */
         int seat(int group, int zone);
 
@@ -107,6 +119,12 @@
         boolean wantsProbe(long nowUs, int seat);
     }
 
+    /**
+     * New settings hold for requests from now on. Their list of classes begins with the one in force, so that
+     * a class keeps its number, and the requests that are open keep their classes and number of attempts.
+     */
+    void onSettings(Settings settings);
+
     void onRequest(long nowUs, Request request);
 
     /** {@code closed}: the request is finished. Role and position are UNKNOWN and 0 where not told. */
--- a/decisions/src/main/java/willowfield/SettingsReader.java
+++ b/decisions/src/main/java/willowfield/SettingsReader.java
@@ -23,6 +23,9 @@
             Fields one = new Fields(Map.of("freshness", access.get(n)));
             double bound = n < bounds.size() && bounds.get(n) instanceof Number b ? b.doubleValue() : 0;
             long deadline = c.micros("deadlineS");
+            if (deadline <= 0) {
+                throw new Malformed("field 'deadlineS' of class " + n + " is not above 0");
+            }
             classes.add(new Router.RequestClass(c.has("name") ? c.text("name") : "class " + n,
                     Router.Access.values()[one.oneOf("freshness", "write", "fresh", "session", "bounded",
                             "any")],
--- a/decisions/src/test/java/willowfield/BrainTest.java
+++ b/decisions/src/test/java/willowfield/BrainTest.java
@@ -812,4 +812,28 @@
         }
         return r.sent;
     }
+
+    // ---- Settings that change.
+
+    @Test
+    void anOpenRequestKeepsItsClassAndAttemptsAndALaterOneHasTheNew() {
+        Setup setup = new Setup();
+        Recorder r = setup.start(up("a", 0, true), up("b", 0, false), up("c", 1, false));
+        r.ask("open", UNSAFE);
+        setup.maxAttempts = 1;
+        List<Router.RequestClass> classes = new java.util.ArrayList<>(setup.settings().classes());
+        Router.RequestClass old = classes.get(SAFE_READ);
+        classes.add(new Router.RequestClass("new", Router.Access.WRITE, Router.Repeat.UNSAFE,
+                old.scope(), 0, 0, old.aimUs(), old.deadlineUs(), 1, 0));
+        r.router.onSettings(setup.settings().with(classes, 1));
+        r.end("open", Outcome.MISS, Role.REPLICA, 0);
+        assertEquals("b", r.last("open").member());
+        r.end("open", Outcome.MISS, Role.PRIMARY, 0);
+        r.ask("later", UNSAFE);
+        r.end("later", Outcome.MISS, Role.REPLICA, 0);
+        assertEquals(List.of("later"), r.refused);
+        r.ask("of the new class", classes.size() - 1);
+        r.end("of the new class", Outcome.RESET);
+        assertEquals(List.of("of the new class"), r.failed);
+    }
 }
--- a/lab/src/test/java/frostreel/lab/virtual/WorldTest.java
+++ b/lab/src/test/java/frostreel/lab/virtual/WorldTest.java
@@ -57,6 +57,8 @@
             this.act = act;
         }
 
+        @Override public void onSettings(Settings settings) {}
+
         @Override public void onRequest(long nowUs, Request q) {
             act.send(q.id(), first(q), q.deadlineUs() - nowUs);
         }
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -10,6 +10,7 @@
 import frostreel.net.Listener;
 import frostreel.net.Loop;
 import frostreel.net.ServerPool;
+import frostreel.operation.ClassTable;
 import frostreel.operation.Door;
 import frostreel.settings.OperatorSettings;
 import frostreel.zones.ZoneAdviser;
@@ -54,7 +55,11 @@
     private final OperatorSettings.Cluster cluster;
     private final CountDownLatch listening = new CountDownLatch(1);
     private final CountDownLatch ended = new CountDownLatch(1);
-    private final long longestUs;
+    private final ClassTable classes;
+    private Config inForce;
+    /** How many changes of settings there were, and how many attempts a request that comes now may have. */
+    private int changes;
+    private int attempts;
     private final long knownPatienceUs;
 
     /** Serves by the platform's word and the operators'. */
@@ -69,10 +74,11 @@
         pool = new ServerPool(loop, config.settings(), config.maxServerConnections());
         broker = new Broker(loop.clock(), loop.deadlines(), loop.counters(), pool, config.settings(),
                 config.maxOpen(), (settings, actions) -> router(config, operators, settings, actions));
-        longestUs = config.settings().classes().stream().mapToLong(Router.RequestClass::deadlineUs).max()
-                .orElse(0);
-        door = new Door(config.inherits(), longestUs);
-        listener = new Listener(loop, broker, door, config.settings().classes(), config.maxClients(),
+        inForce = config;
+        attempts = config.settings().limits().maxAttempts();
+        classes = new ClassTable(config.settings().classes());
+        door = new Door(config.inherits(), longest(config.settings()));
+        listener = new Listener(loop, broker, door, classes, config.maxClients(),
                 config.usualClients());
         listener.page("stats", () -> loop.counters().toString());
         operator = new Operator(loop, door, pool, broker, listener::sweep, config.orders(),
@@ -131,19 +137,46 @@
     }
 
     /**
-     * Goes over to the discovery that a new configuration names; all else in it waits for the next start. The
-     * new watch begins with the whole list, as numbers of one agent's lists say nothing of another's.
+     * Goes over to the settings of a new configuration, in one step, and to the discovery that it names;
+     * names, addresses, descriptors and the bound on open requests wait for the next start. A new watch
+     * begins with the whole list, as numbers of one agent's lists say nothing of another's.
      */
     public void reload(Config config) {
         loop.thread().execute(() -> {
             loop.counters().reloads++;
-            watch.stop();
-            watch = watch(config, -1);
-            watch.start();
-            LOG.info("discovery is now at " + config.discovery());
+            settings(config.settings());
+            if (!config.sameLists(inForce)) {
+                watch.stop();
+                watch = watch(config, -1);
+                watch.start();
+                LOG.info("discovery is now at " + config.discovery());
+            }
+            inForce = config;
+            LOG.info("the new configuration holds");
         });
     }
 
+    /** Where more attempts are allowed than before, that waits until no client speaks by the old settings. */
+    private void settings(Router.Settings settings) {
+        classes.change(loop.clock().now(), settings.classes());
+        Router.Settings whole = settings.with(classes.all(), settings.limits().maxAttempts());
+        pool.settings(whole);
+        attempts = Math.min(attempts, whole.limits().maxAttempts());
+        broker.settings(settings.with(classes.all(), attempts));
+        door.longest(longest(settings));
+        int change = ++changes;
+        loop.deadlines().after(ClassTable.CHANGE_US, () -> {
+            if (change == changes) {
+                attempts = whole.limits().maxAttempts();
+                broker.settings(whole);
+            }
+        });
+    }
+
+    private static long longest(Router.Settings settings) {
+        return settings.classes().stream().mapToLong(Router.RequestClass::deadlineUs).max().orElse(0);
+    }
+
     /** Goes over to the operators' new tiers; whether there are any, or none, is settled at the start. */
     public void reload(Config config, OperatorSettings operators) {
         if (!Objects.equals(cluster, operators.cluster())) {
@@ -217,7 +250,7 @@
             awaitEnd();
         });
         // A client that neither finishes a message nor goes away must not keep the process past SIGKILL.
-        boolean clean = ended.await(longestUs + Door.STAY_US, TimeUnit.MICROSECONDS);
+        boolean clean = ended.await(door.longUs(), TimeUnit.MICROSECONDS);
         if (fellows != null) {
             fellows.leave(loop, LEAVE_MS);
         }
--- a/pooler/src/main/java/frostreel/broker/Broker.java
+++ b/pooler/src/main/java/frostreel/broker/Broker.java
@@ -28,6 +28,7 @@
         long handle;
         String id;
         boolean answered;
+        final int mostAttempts;
         int attempts;
         long inFlight = SlotTable.NONE;
         String memberId;
@@ -35,7 +36,8 @@
         Deadlines.Deadline timeout;
         Deadlines.Deadline overdue;
 
-        Entry(Ask ask, Payload payload, Caller caller) {
+        Entry(Ask ask, Payload payload, Caller caller, int mostAttempts) {
+            this.mostAttempts = mostAttempts;
             this.ask = ask;
             this.payload = payload;
             this.caller = caller;
@@ -50,7 +52,7 @@
     private final Counters counters;
     private final BackEnd backEnd;
     private final Router router;
-    private final int maxAttempts;
+    private int maxAttempts;
     private final SlotTable<Entry> requests;
     private final Set<Integer> groups = new HashSet<>();
     private final Set<String> ids = new HashSet<>();
@@ -97,6 +99,12 @@
 
     // ---- From the front end and from discovery. ----
 
+    /** New settings hold for requests from now on; those in hand keep what they came with. */
+    public void settings(Router.Settings settings) {
+        maxAttempts = settings.limits().maxAttempts();
+        event(() -> router.onSettings(settings));
+    }
+
     /** Whether a request of that name is open, or an attempt of it still out: another would be a second. */
     public boolean holds(String id) {
         return ids.contains(id);
@@ -105,7 +113,7 @@
     /** Takes a request; its caller may be answered before this returns. */
     public long submit(Ask ask, Payload payload, Caller caller) {
         counters.requests++;
-        Entry r = new Entry(ask, payload, caller);
+        Entry r = new Entry(ask, payload, caller, maxAttempts);
         r.handle = requests.add(r);
         if (r.handle == SlotTable.NONE || !groups.contains(ask.group())) {
             requests.remove(r.handle);
@@ -202,7 +210,7 @@
         long now = clock.now();
         long left = Math.min(timeoutUs, r.ask.deadlineUs() - now);
         // Never two attempts in flight, none past the limit or the deadline, whatever is asked for.
-        if (r.inFlight != SlotTable.NONE || attempt >= maxAttempts || left <= 0) {
+        if (r.inFlight != SlotTable.NONE || attempt >= r.mostAttempts || left <= 0) {
             event(() -> router.onOutcome(clock.now(), r.id, attempt, memberId, Outcome.MOOT, r.answered, 0,
                     Router.Role.UNKNOWN, 0, null));
             return;
--- a/pooler/src/main/java/frostreel/cli/Serve.java
+++ b/pooler/src/main/java/frostreel/cli/Serve.java
@@ -26,6 +26,8 @@
     @Option(names = "--settings", paramLabel = "FILE",
             description = "The operators' settings, as deploy/frostreel.xml; read again at SIGHUP.")
     private Path settings;
+    /** By which the pooler runs; read and replaced by {@link #reload} alone, one at a time. */
+    private volatile Config inForce;
 
     @Override public Integer call() throws IOException {
         try {
@@ -33,6 +35,7 @@
             OperatorSettings operators = settings == null ? OperatorSettings.DEFAULT
                     : OperatorSettings.read(settings, config.name());
             Logging.configure(operators.logFormat(), operators.logLevel());
+            inForce = config;
             Pooler pooler = new Pooler(config, operators);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(pooler), "stop"));
             Hangup.handle(() -> reload(pooler));
@@ -46,7 +49,8 @@
     /** On the signal's own thread, as reading a file may block; one at a time, so that the last file wins. */
     private synchronized void reload(Pooler pooler) {
         try {
-            Config config = Config.reload(System.getenv());
+            Config config = Config.reload(System.getenv(), inForce);
+            inForce = config;
             if (settings != null) {
                 reload(pooler, config);
             }
--- a/pooler/src/main/java/frostreel/config/Config.java
+++ b/pooler/src/main/java/frostreel/config/Config.java
@@ -21,7 +21,7 @@
 public record Config(String name, InetSocketAddress listen, InetSocketAddress control,
         boolean inherits, Path orders, InetSocketAddress discovery, int maxClients,
         int usualClients, int maxServerConnections, int maxOpen, HostList known, List<Object> zones,
-        List<Object> kinds, Router.Settings settings) {
+        List<Object> kinds, Router.Settings settings, JSONObject source) {
     private static final int DEFAULT_SOCKETS = 1024;
     /** Descriptors for the program itself: its jar, selectors, the listener, discovery, a margin. */
     private static final int OWN_SOCKETS = 64;
@@ -48,7 +48,7 @@
         }
         try {
             JSONObject json = new JSONObject(Files.readString(Path.of(file)));
-            return read(new Fields(json.toMap()), environment);
+            return read(json, environment);
         } catch (IOException e) {
             throw new ConfigException("GW_CONFIG: cannot read " + file);
         } catch (JSONException e) {
@@ -59,16 +59,29 @@
     }
 
     /**
-     * Reads the file anew while the program runs. The new file names the new discovery; {@code GW_DISCOVERY}
-     * is as old as the start, and would name the one that is being given up.
+     * Reads the file anew while the program runs by {@code inForce}, of which it must have every key. The new
+     * file names the new discovery; {@code GW_DISCOVERY} is as old as the start, and would name the one that
+     * is being given up.
      */
-    public static Config reload(Map<String, String> environment) throws ConfigException {
+    public static Config reload(Map<String, String> environment, Config inForce) throws ConfigException {
         Map<String, String> rest = new HashMap<>(environment);
         rest.remove("GW_DISCOVERY");
-        return load(rest);
+        Config fresh = load(rest);
+        String missing = Shape.missing(inForce.source, fresh.source);
+        if (missing != null) {
+            throw new ConfigException("GW_CONFIG: field '" + missing
+                    + "' is missing, which the file in force has");
+        }
+        return fresh;
+    }
+
+    /** Whether another configuration has its lists from the same place, and reads them the same way. */
+    public boolean sameLists(Config other) {
+        return discovery.equals(other.discovery) && zones.equals(other.zones) && kinds.equals(other.kinds);
     }
 
-    private static Config read(Fields f, Map<String, String> environment) throws Malformed {
+    private static Config read(JSONObject source, Map<String, String> environment) throws Malformed {
+        Fields f = new Fields(source.toMap());
         Fields limits = f.has("limits") ? f.object("limits") : new Fields(Map.of());
         int descriptors = (int) limits.whole("sockets", 2 * OWN_SOCKETS, 1 << 20, DEFAULT_SOCKETS);
         int sockets = descriptors - OWN_SOCKETS;
@@ -99,7 +112,7 @@
                         ? Path.of(environment.get("TMPDIR"), "frostreel-orders") : null,
                 HostList.address(told(f, "discovery", environment, "GW_DISCOVERY"), "discovery"),
                 sockets - maxServers, usual, maxServers, maxOpen, known, zones, kinds,
-                settings);
+                settings, source);
     }
 
     /** The environment's word goes first. */
--- a/pooler/src/main/java/frostreel/net/Listener.java
+++ b/pooler/src/main/java/frostreel/net/Listener.java
@@ -2,6 +2,7 @@
 
 import frostreel.broker.Broker;
 import frostreel.broker.SlotTable;
+import frostreel.operation.ClassTable;
 import frostreel.operation.Door;
 import frostreel.pg.Statement;
 import java.io.IOException;
@@ -20,7 +21,6 @@
 import org.xnio.StreamConnection;
 import org.xnio.channels.AcceptingChannel;
 import org.xnio.nio.InheritedServer;
-import willowfield.Router;
 
 /** Owns the listening socket and the clients' connections, up to their cap. */
 public final class Listener {
@@ -41,8 +41,7 @@
     private final Loop loop;
     private final Broker broker;
     private final Door door;
-    private final List<Router.RequestClass> classes;
-    private final Map<String, Integer> classNumbers = new HashMap<>();
+    private final ClassTable classes;
     private final Map<String, Supplier<String>> pages = new HashMap<>();
     private final int maxClients;
     /** Beyond so many clients that may ask, of which so many are idle, the longest idle is closed. */
@@ -58,13 +57,12 @@
     private boolean sparing;
 
     /** Of the {@code usualClients} that come to ask, three quarters may stay without a bound on idle ones. */
-    public Listener(Loop loop, Broker broker, Door door, List<Router.RequestClass> classes, int maxClients,
+    public Listener(Loop loop, Broker broker, Door door, ClassTable classes, int maxClients,
             int usualClients) {
         this.loop = loop;
         this.broker = broker;
         this.door = door;
         this.classes = classes;
-        classes.forEach(c -> classNumbers.put(c.name(), classNumbers.size()));
         this.maxClients = maxClients;
         usualBound = usualClients * 3 / 4;
         idleBound = usualClients / 3;
@@ -142,14 +140,7 @@
 
     /** The class that a statement names, null where there is none or the statement is none of that class. */
     Integer classNumber(Statement s) {
-        Integer number = classNumbers.get(s.requestClass());
-        if (number == null) {
-            return null;
-        }
-        Router.RequestClass c = classes.get(number);
-        boolean fits = s.write() == (c.access() == Router.Access.WRITE)
-                && (s.keyed() || c.repeat() != Router.Repeat.KEYED);
-        return fits ? number : null;
+        return classes.number(loop.clock().now(), s.requestClass(), s.write(), s.keyed());
     }
 
     /** A client has nothing in hand; where clients are to leave, it is closed then. */
--- a/pooler/src/main/java/frostreel/net/ServerPool.java
+++ b/pooler/src/main/java/frostreel/net/ServerPool.java
@@ -63,8 +63,8 @@
     private static final byte[] SHOW_LOAD = Messages.query("SHOW load\0".getBytes(StandardCharsets.US_ASCII));
     private final Loop loop;
     private final boolean onlyDrainingBinds;
-    private final long connectTimeoutUs;
-    private final long idleUs;
+    private long connectTimeoutUs;
+    private long idleUs;
     private final Map<String, Server> servers = new HashMap<>();
     private final SlotTable<ServerConnection> connections;
     /** All idle connections of all servers, in the order in which they came to rest. */
@@ -74,9 +74,14 @@
     public ServerPool(Loop loop, Router.Settings settings, int maxConnections) {
         this.loop = loop;
         onlyDrainingBinds = settings.rules().onlyDrainingBinds();
+        connections = new SlotTable<>(maxConnections);
+        settings(settings);
+    }
+
+    /** Other limits on time, for what begins from now on. */
+    public void settings(Router.Settings settings) {
         connectTimeoutUs = settings.limits().connectTimeoutUs();
         idleUs = (long) (settings.limits().idleCloseUs() * IDLE_SHARE);
-        connections = new SlotTable<>(maxConnections);
     }
 
     /** Takes the addresses of a list, and what wants nothing new; {@link #withdraw} has to follow. */
--- a/pooler/src/test/java/frostreel/OperatorsTest.java
+++ b/pooler/src/test/java/frostreel/OperatorsTest.java
@@ -1,5 +1,6 @@
 package frostreel;
 
+import static frostreel.Stage.errors;
 import static frostreel.Stage.host;
 import static frostreel.Stage.list;
 import static frostreel.Stage.look;
@@ -7,11 +8,13 @@
 import static frostreel.Stage.rows;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import frostreel.config.Config;
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -117,4 +120,41 @@
             }
         }
     }
+
+    /** Other settings of the same pooler: the class "post" is dropped, "pay" may not be repeated. */
+    private static String changed(String discovery) {
+        return Stage.configuration(discovery).replace("\"name\":\"post\"", "\"name\":\"pay\"")
+                .replace("\"dedup\"", "\"fragile\"").replace("\"maxAttempts\":4", "\"maxAttempts\":1");
+    }
+
+    @Test void aRequestInFlightKeepsItsRulesAndANewClassIsServedByItsOwn() throws Exception {
+        CountDownLatch asked = new CountDownLatch(1);
+        CountDownLatch reloaded = new CountDownLatch(1);
+        replica.script = (text, link) -> {
+            asked.countDown();
+            try {
+                reloaded.await();
+            } catch (InterruptedException e) {
+                throw new java.io.IOException(e);
+            }
+            link.send(Stage.error("XX000"), Stage.READY);
+        };
+        try (Stage.Link open = stage.client(); Stage.Link later = stage.client()) {
+            open.send(Stage.query(look("1", 9000)));
+            asked.await();
+            stage.pooler.reload(Config.load(Stage.environment(changed(stage.discovery.address()))));
+            String pay = post("2", 9000).replace("c=post", "c=pay");
+            assertThat(value(later.ask(pay))).isEqualTo("from-primary");
+            assertThat(value(later.ask(post("3", 9000)))).as("clients may still speak by the old")
+                    .isEqualTo("from-primary");
+            reloaded.countDown();
+            assertThat(value(open.takeAnswer())).as("a second attempt").isEqualTo("from-primary");
+            replica.script = errors("XX000", "replica");
+            primary.script = errors("XX000", "primary");
+            assertThat(later.ask(look("4", 9000))).as("one attempt, and safe to repeat").singleElement()
+                    .asString().contains("|C53300|");
+            assertThat(later.ask(post("5", 9000).replace("c=post", "c=pay"))).as("may have run")
+                    .singleElement().asString().doesNotContain("|C53300|");
+        }
+    }
 }
--- a/pooler/src/test/java/frostreel/PartsTest.java
+++ b/pooler/src/test/java/frostreel/PartsTest.java
@@ -8,9 +8,12 @@
 import frostreel.broker.SlotTable;
 import frostreel.config.Config;
 import frostreel.config.ConfigException;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import org.json.JSONArray;
 import org.json.JSONObject;
 import org.json.JSONTokener;
 import org.junit.jupiter.api.Test;
@@ -75,4 +78,71 @@
                             : bad.getKey().equals("known") ? "health" : bad.getKey());
         }
     }
+
+    /** The file in force, and what becomes of one that is written in its place. */
+    private static void reload(String fresh) throws Exception {
+        Config inForce = Config.load(Stage.environment(Stage.configuration("127.0.0.1:1")));
+        Config.reload(Stage.environment(fresh), inForce);
+    }
+
+    @Test void aFileCutAnywhereIsTurnedDown() throws Exception {
+        String whole = Stage.configuration("127.0.0.1:2");
+        reload(whole);
+        Config inForce = Config.load(Stage.environment(whole));
+        Map<String, String> environment = Stage.environment(whole);
+        Path file = Path.of(environment.get("GW_CONFIG"));
+        for (int i = 0; i < whole.length(); i++) {
+            Files.writeString(file, whole.substring(0, i));
+            assertThatThrownBy(() -> Config.reload(environment, inForce)).as("cut at %d", i)
+                    .isInstanceOf(ConfigException.class);
+        }
+    }
+
+    @Test void aFileWithoutAKeyOfTheOneInForceIsTurnedDownWithTheKeyNamed() throws Exception {
+        List<String> keys = new ArrayList<>();
+        keys(new JSONObject(Stage.configuration("127.0.0.1:2")), "", keys);
+        assertThat(keys).hasSizeGreaterThan(40).contains("settings/classes/0/worth", "settings/caps/probes");
+        for (String key : keys) {
+            JSONObject cut = new JSONObject(Stage.configuration("127.0.0.1:2"));
+            String[] way = key.split("/");
+            Object at = cut;
+            for (int i = 0; i < way.length - 1; i++) {
+                at = at instanceof JSONArray a ? a.get(Integer.parseInt(way[i]))
+                        : ((JSONObject) at).get(way[i]);
+            }
+            ((JSONObject) at).remove(way[way.length - 1]);
+            assertThatThrownBy(() -> reload(cut.toString())).as(key).isInstanceOf(ConfigException.class)
+                    .hasMessageContaining(way[way.length - 1]);
+        }
+    }
+
+    /** All keys, but those of single classes alone and those of the list of servers. */
+    private static void keys(Object in, String way, List<String> keys) {
+        if (in instanceof JSONObject o) {
+            for (String key : o.keySet()) {
+                boolean ofOneClass = way.startsWith("settings/classes/")
+                        && List.of("group", "repeatWindowS", "lateWorth").contains(key);
+                if (!ofOneClass) {
+                    keys.add(way + key);
+                    if (!key.equals("known")) {
+                        keys(o.get(key), way + key + "/", keys);
+                    }
+                }
+            }
+        } else if (in instanceof JSONArray a) {
+            for (int i = 0; i < a.length(); i++) {
+                keys(a.get(i), way + i + "/", keys);
+            }
+        }
+    }
+
+    @Test void aDeadlineOrANumberOfAttemptsThatIsNoNumberAboveZeroIsTurnedDown() {
+        String whole = Stage.configuration("127.0.0.1:2");
+        for (String wrong : List.of("0", "-5", "\"ten\"", "\"\"", "null", "true", "{}", "[]", "NaN")) {
+            assertThatThrownBy(() -> reload(whole.replaceFirst("\"deadlineS\":10", "\"deadlineS\":" + wrong)))
+                    .as(wrong).isInstanceOf(ConfigException.class).hasMessageContaining("deadlineS");
+            assertThatThrownBy(() -> reload(whole.replace("\"maxAttempts\":4", "\"maxAttempts\":" + wrong)))
+                    .as(wrong).isInstanceOf(ConfigException.class).hasMessageContaining("maxAttempts");
+        }
+    }
 }
