Pass long values on as they come, with back-pressure to their servers

Cause, seen by a probe: rows of 3.5 to 4.2 MB were turned down at their head (MessageReader's bound of 256 KiB) and asked for elsewhere, each costing several servers their work. Ruled out: statements (130,788 bytes at most) and slow writers (none closed as silent).

Change: a row of over 64 KiB whose head is whole in form goes on piece by piece; the answer is then the final one, no time-out and no second attempt follows, and the module hears of the time to the first bytes. Servers are not read while 128 KiB wait for a client, or anything while a fourth of the heap waits in all. A break closes the client's connection.

LongValuesTest sends 300 MB through 32 MB of heap; without the back-pressure it fails.

--- a/pooler/src/main/java/frostreel/broker/BackEnd.java
+++ b/pooler/src/main/java/frostreel/broker/BackEnd.java
@@ -14,9 +14,30 @@
         }
     }
 
+    /** The source of a long answer, which waits while the other side is slower. */
+    interface Flow {
+        void pause();
+
+        void resume();
+    }
+
+    /** Where a long answer goes, piece by piece. */
+    interface Passage {
+        void part(byte[] bytes);
+    }
+
     /** Where an attempt's or a probe's result goes. */
     interface Sink {
+        /** For a long answer, what is left of it behind the pieces. */
         void ended(Result result);
+
+        /**
+         * An answer too long to be held begins. It goes on as it comes, and from now on there is no time-out;
+         * null where nobody wants it any more.
+         */
+        default Passage begins(Flow from) {
+            return null;
+        }
     }
 
     /** Begins an attempt; the returned handle names it to {@link #abandon}. */
--- a/pooler/src/main/java/frostreel/broker/Broker.java
+++ b/pooler/src/main/java/frostreel/broker/Broker.java
@@ -28,6 +28,8 @@
         long handle;
         String id;
         boolean answered;
+        /** Its answer has begun, and goes on as it comes. */
+        boolean passing;
         final int mostAttempts;
         int attempts;
         long inFlight = SlotTable.NONE;
@@ -134,7 +136,12 @@
     public void gone(long handle) {
         event(() -> {
             Entry r = requests.get(handle);
-            if (r != null && !r.answered) {
+            if (r != null && r.passing) {
+                counters.longBroken++;
+                backEnd.abandon(r.inFlight);
+                r.inFlight = SlotTable.NONE;
+                release(r);
+            } else if (r != null && !r.answered) {
                 counters.clientsGone++;
                 close(r);
                 router.onClientGone(clock.now(), r.id);
@@ -185,6 +192,16 @@
         deadlines.cancel(r.timeout);
         r.inFlight = SlotTable.NONE;
         counters.outcome(result.outcome());
+        if (r.passing) {
+            if (result.outcome() == Outcome.OK) {
+                r.caller.served(result.answer());
+            } else {
+                counters.longBroken++;
+                r.caller.broken();
+            }
+            release(r);
+            return;
+        }
         if (result.outcome() == Outcome.OK && !r.answered) {
             close(r);
             counters.served++;
@@ -195,6 +212,23 @@
         release(r);
     }
 
+    /** An answer that has begun is the final one: the module hears of the time to its first bytes. */
+    private BackEnd.Passage begins(Entry r, int attempt, BackEnd.Flow from) {
+        if (r.answered || attempt != r.attempts - 1) {
+            return null;
+        }
+        long now = clock.now();
+        close(r);
+        deadlines.cancel(r.timeout);
+        r.passing = true;
+        counters.served++;
+        counters.longAnswers++;
+        BackEnd.Passage passage = r.caller.begins(from);
+        event(() -> router.onOutcome(now, r.id, attempt, r.memberId, Outcome.OK, true, now - r.sentUs,
+                Router.Role.UNKNOWN, 0, null));
+        return passage;
+    }
+
     // ---- What the module asks for; on a slot that was freed or used again nothing is done. ----
 
     private Entry entry(String requestId) {
@@ -218,14 +252,21 @@
         counters.attempts++;
         r.memberId = memberId;
         r.sentUs = now;
-        r.inFlight = backEnd.start(memberId, r.payload, left, result -> event(() -> ended(r, attempt,
-                result)));
+        r.inFlight = backEnd.start(memberId, r.payload, left, new BackEnd.Sink() {
+            @Override public void ended(BackEnd.Result result) {
+                event(() -> Broker.this.ended(r, attempt, result));
+            }
+
+            @Override public BackEnd.Passage begins(BackEnd.Flow from) {
+                return Broker.this.begins(r, attempt, from);
+            }
+        });
         r.timeout = deadlines.after(left, () -> event(() -> stop(r, attempt, Outcome.TIMEOUT)));
     }
 
     /** An attempt that never reached its server is moot: that proves that it never ran. */
     private void stop(Entry r, int attempt, Outcome outcome) {
-        if (r.inFlight != SlotTable.NONE && attempt == r.attempts - 1) {
+        if (r.inFlight != SlotTable.NONE && attempt == r.attempts - 1 && !r.passing) {
             boolean reached = backEnd.abandon(r.inFlight);
             ended(r, attempt, BackEnd.Result.of(reached ? outcome : Outcome.MOOT));
         }
--- a/pooler/src/main/java/frostreel/broker/Caller.java
+++ b/pooler/src/main/java/frostreel/broker/Caller.java
@@ -1,6 +1,6 @@
 package frostreel.broker;
 
-/** The side that handed in a request; exactly one of these is called, once, unless it went away before. */
+/** The side that handed in a request; it has exactly one answer, once, unless it went away before. */
 public interface Caller {
     /** {@code answer}: as the back end gave it for this request. */
     void served(byte[] answer);
@@ -9,4 +9,12 @@
     void refused(long adviceUs);
 
     void failed();
+
+    /** A long answer begins: in pieces, then {@link #served} has the rest, or it is {@link #broken}. */
+    default BackEnd.Passage begins(BackEnd.Flow from) {
+        throw new IllegalStateException("no long answers are taken here");
+    }
+
+    /** The answer that began ends here, unfinished; the other side must be able to tell. */
+    default void broken() {}
 }
--- a/pooler/src/main/java/frostreel/net/ClientConnection.java
+++ b/pooler/src/main/java/frostreel/net/ClientConnection.java
@@ -1,5 +1,6 @@
 package frostreel.net;
 
+import frostreel.broker.BackEnd;
 import frostreel.broker.Broker;
 import frostreel.broker.Caller;
 import frostreel.broker.Deadlines;
@@ -25,6 +26,8 @@
     private static final int MOST_BYTES = (1 << 17) + (1 << 12);
     /** So much may wait unread behind a request; beyond it the client is not read from. */
     private static final int BACKLOG_BYTES = 1 << 16;
+    /** So much of a long answer may wait for its reader; beyond it the server is not read from. */
+    private static final int MOST_WAITING = 1 << 17;
     /** So long after connecting, or after the first byte of a message, a whole one must have come. */
     private static final long OWING_US = 2_300_000;
     /** So many queries in a row may be no good before the connection ends: answering them is work, too. */
@@ -54,6 +57,8 @@
     private long sinceUs;
     private Deadlines.Deadline patience;
     private long request = SlotTable.NONE;
+    /** The source of the long answer that is being passed on, null for none. */
+    private BackEnd.Flow flow;
 
     ClientConnection(Loop loop, Listener listener, StreamConnection connection) {
         this.loop = loop;
@@ -110,6 +115,9 @@
     }
 
     @Override public void drained() {
+        if (flow != null) {
+            flow.resume();
+        }
         take();
     }
 
@@ -259,6 +267,7 @@
 
     private void settle(byte[] message) {
         busy = false;
+        flow = null;
         request = SlotTable.NONE;
         answer(message);
         take();
@@ -268,6 +277,20 @@
         settle(answer);
     }
 
+    @Override public BackEnd.Passage begins(BackEnd.Flow from) {
+        flow = from;
+        return piece -> {
+            stream.write(piece);
+            if (stream.waiting() > MOST_WAITING || loop.holdsMuch() && !stream.flushed()) {
+                from.pause();
+            }
+        };
+    }
+
+    @Override public void broken() {
+        close();
+    }
+
     @Override public void refused(long adviceUs) {
         settle(refusal(adviceUs));
     }
--- a/pooler/src/main/java/frostreel/net/Loop.java
+++ b/pooler/src/main/java/frostreel/net/Loop.java
@@ -16,6 +16,8 @@
 /** Owns the one I/O thread on which all else runs, its clock, its deadlines and the buffer it reads into. */
 public final class Loop {
     private static final int READ_BYTES = 1 << 16;
+    /** A fourth of the heap: the rest is for statements, short answers, tables, and the collector. */
+    private static final long MOST_HELD = Runtime.getRuntime().maxMemory() / 4;
     /** A part of the second that the rule on drains allows; more often, a look for news costs too much. */
     private static final long SILENCE_US = 200_000;
     private final XnioWorker worker;
@@ -28,6 +30,7 @@
     private boolean ending;
     private Runnable awoken = () -> { };
     private long lastUs = clock.now();
+    private long heldBytes;
 
     public Loop() throws IOException {
         worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
@@ -96,6 +99,16 @@
         return counters;
     }
 
+    /** So many more bytes, or fewer, wait for sockets to take them. */
+    void held(int more) {
+        heldBytes += more;
+    }
+
+    /** Whether all that waits for slow readers is more than its part of the memory. */
+    boolean holdsMuch() {
+        return heldBytes > MOST_HELD;
+    }
+
     /** The buffer for one read, emptied; what is in it lasts only until the next. */
     ByteBuffer readBuffer() {
         return readBuffer.clear();
--- a/pooler/src/main/java/frostreel/net/ServerConnection.java
+++ b/pooler/src/main/java/frostreel/net/ServerConnection.java
@@ -16,9 +16,11 @@
 import willowfield.Router.Outcome;
 
 /** One connection to a server, with at most one attempt on it. */
-final class ServerConnection implements Stream.Handler {
+final class ServerConnection implements Stream.Handler, BackEnd.Flow {
     private enum Phase { CONNECTING, STARTUP, IDLE, BUSY, CLOSED }
 
+    /** Peers need seconds to read or write; a row of which nothing moves for so long is given up. */
+    private static final long STILL_US = 30_000_000;
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
     final ServerPool.Server server;
     final InetSocketAddress address;
@@ -32,6 +34,10 @@
     private Reply reply = Reply.toStartup();
     private ServerPool.Attempt attempt;
     private Deadlines.Deadline deadline;
+    /** Where a long row goes, and how much of it is still to come. */
+    private BackEnd.Passage passage;
+    private int passing;
+    private boolean moved;
 
     ServerConnection(Loop loop, ServerPool pool, ServerPool.Server server) {
         this.loop = loop;
@@ -99,10 +105,11 @@
             close();
             return;
         }
+        pass(in);
         reader.feed(in);
         try {
             boolean whole = false;
-            while (!whole && reader.next()) {
+            while (!whole && !beginsLong() && reader.next()) {
                 reply.accept(reader);
                 whole = reply.ended();
             }
@@ -115,6 +122,61 @@
         }
     }
 
+    /** The next piece of a long row. */
+    private void pass(ByteBuffer in) {
+        if (passing > 0 && in.hasRemaining()) {
+            byte[] piece = new byte[Math.min(passing, in.remaining())];
+            in.get(piece);
+            passing -= piece.length;
+            moved = true;
+            if (passing == 0) {
+                loop.deadlines().cancel(deadline);
+            }
+            passage.part(piece);
+        }
+    }
+
+    /** Whether a row that is passed on is on its way; begins to pass one on that comes next. */
+    private boolean beginsLong() throws PgException {
+        int length = passing > 0 ? 0 : reader.longRow(Reply.HELD_ROW);
+        if (length > 0) {
+            byte[] before = reply.passRow(attempt != null && !attempt.probe && reader.rowHoldsOneValue());
+            ServerPool.Attempt mine = attempt;
+            passage = mine.sink.begins(this);
+            if (passage == null) {
+                end(BackEnd.Result.of(Outcome.CANCELLED));
+                return true;
+            }
+            byte[] held = reader.takeHeld(length + MessageReader.HEADER);
+            passing = length + MessageReader.HEADER - held.length;
+            moved = true;
+            if (passing > 0) {
+                deadline = loop.deadlines().after(STILL_US, this::still);
+            }
+            passage.part(before);
+            passage.part(held);
+        }
+        return passing > 0;
+    }
+
+    /** A row that stands still for too long holds a place on both sides for nothing. */
+    private void still() {
+        if (passing > 0 && !moved) {
+            end(BackEnd.Result.of(Outcome.RESET));
+        } else if (passing > 0) {
+            moved = false;
+            deadline = loop.deadlines().after(STILL_US, this::still);
+        }
+    }
+
+    @Override public void pause() {
+        stream.suspendReads();
+    }
+
+    @Override public void resume() {
+        stream.resumeReads();
+    }
+
     /** Takes the whole answer; with a byte behind it, the connection is not used again. */
     private void answered(Reply whole) {
         boolean clean = whole.ready() && reader.buffered() == 0;
@@ -186,6 +248,7 @@
         }
         phase = Phase.CLOSED;
         attempt = null;
+        passing = 0;
         loop.deadlines().cancel(deadline);
         if (stream != null) {
             stream.close();
--- a/pooler/src/main/java/frostreel/net/Stream.java
+++ b/pooler/src/main/java/frostreel/net/Stream.java
@@ -40,6 +40,7 @@
     private final ConduitStreamSinkChannel sink;
     private final Handler handler;
     private final ArrayDeque<ByteBuffer> output = new ArrayDeque<>();
+    private int waiting;
     private long reads;
     private boolean ending;
     private boolean closed;
@@ -108,17 +109,28 @@
         return closed || reads != before;
     }
 
+    private void hold(int more) {
+        waiting += more;
+        loop.held(more);
+    }
+
     /** Writes what the socket takes now; the rest waits until it is writable. */
     public void write(byte[] bytes) {
         if (closed) {
             return;
         }
         output.add(ByteBuffer.wrap(bytes));
+        hold(bytes.length);
         if (output.size() == 1 && !flush() && !closed) {
             sink.resumeWrites();
         }
     }
 
+    /** How many bytes the socket has not taken yet. */
+    public int waiting() {
+        return waiting;
+    }
+
     /** Ends our sending once all is with the socket; the other side may still send. */
     public void end() {
         ending = true;
@@ -148,7 +160,7 @@
         try {
             while (!output.isEmpty()) {
                 ByteBuffer head = output.peek();
-                sink.write(head);
+                hold(-sink.write(head));
                 if (head.hasRemaining()) {
                     return false;
                 }
@@ -186,6 +198,7 @@
     public void close() {
         if (!closed) {
             closed = true;
+            hold(-waiting);
             IoUtils.safeClose(connection);
         }
     }
--- a/pooler/src/main/java/frostreel/pg/MessageReader.java
+++ b/pooler/src/main/java/frostreel/pg/MessageReader.java
@@ -12,7 +12,10 @@
     }
 
     private static final int SMALL = 2048;
-    private static final int HEADER = 5;
+    /** The bytes of a message before its body. */
+    public static final int HEADER = 5;
+    /** A row begins with the number of its columns and the first one's length. */
+    private static final int ROW_HEAD = 6;
     private static final int STARTUP_MOST = 10_000;
     private final Bounds bounds;
     private byte[] buffer = new byte[SMALL];
@@ -66,6 +69,29 @@
         return take(1, longest);
     }
 
+    /**
+     * The length of the row that comes next, where its body is longer than that and its own head is here: its
+     * bytes are to be taken as they come, by {@link #takeHeld}. Else 0.
+     */
+    public int longRow(int most) {
+        int head = HEADER + ROW_HEAD;
+        int length = buffered() < head || buffer[from] != 'D' ? 0 : intAt(from + 1) - Integer.BYTES;
+        return length > most ? length : 0;
+    }
+
+    /** Whether the row that comes next is one column whose length fits the row's. */
+    public boolean rowHoldsOneValue() {
+        return buffer[from + HEADER] == 0 && buffer[from + HEADER + 1] == 1
+                && intAt(from + HEADER + 2) == intAt(from + 1) - Integer.BYTES - ROW_HEAD;
+    }
+
+    /** Takes what is here, up to so many bytes. */
+    public byte[] takeHeld(int most) {
+        byte[] taken = Arrays.copyOfRange(buffer, from, Math.min(to, from + most));
+        from += taken.length;
+        return taken;
+    }
+
     /** The same for a startup message, which has no type. */
     public boolean nextStartup() throws PgException {
         return buffered() >= Integer.BYTES && take(0, STARTUP_MOST);
--- a/pooler/src/main/java/frostreel/pg/Reply.java
+++ b/pooler/src/main/java/frostreel/pg/Reply.java
@@ -15,11 +15,13 @@
 public final class Reply {
     private enum Part { CALLED, WELCOMED, ASKED, DESCRIBED, ROW, COMPLETE, ERROR, READY }
 
-    /** The longest row: a value of 64 KiB as hexadecimal text, with room to spare. */
-    private static final int MOST_ROW = 1 << 18;
+    /** The longest row that is held until it is whole: a value of 64 KiB with its head. */
+    public static final int HELD_ROW = (1 << 16) + 6;
+    /** The longest row that is passed on; what claims to be longer is noise. */
+    private static final int MOST_ROW = 1 << 24;
     private static final int MOST_OTHER = 1 << 13;
     /** All messages of one answer together; notices without end are no answer either. */
-    private static final int MOST_BYTES = MOST_ROW + (1 << 16);
+    private static final int MOST_BYTES = HELD_ROW + (1 << 16);
     /** After its name, a described column has six numbers: table, place, type, length, modifier, format. */
     private static final int COLUMN_NUMBERS = 18;
     private final ByteArrayOutputStream rows = new ByteArrayOutputStream(256);
@@ -92,6 +94,17 @@
         }
     }
 
+    /**
+     * A row too long to be held comes next, and is passed on from here; what came before it is handed over,
+     * and only what comes after it is kept.
+     */
+    public byte[] passRow(boolean holdsOneValue) throws PgException {
+        advance(part == Part.DESCRIBED && holdsOneValue, Part.ROW);
+        byte[] before = rows.toByteArray();
+        rows.reset();
+        return before;
+    }
+
     private void advance(boolean proper, Part next) throws PgException {
         if (!proper) {
             throw new PgException("a message that does not fit after " + part);
--- a/pooler/src/main/java/frostreel/stats/Counters.java
+++ b/pooler/src/main/java/frostreel/stats/Counters.java
@@ -17,6 +17,9 @@
     public long unreadReports;
     public long crowdedOut;
     public long requests;
+    /** Answers passed on as they came, and those of them that ended unfinished. */
+    public long longAnswers;
+    public long longBroken;
     public long served;
     public long refused;
     public long failed;
@@ -49,6 +52,7 @@
                 + " malformed=" + malformed + " stray_bytes=" + strayBytes
                 + " unread_reports=" + unreadReports + " crowded_out=" + crowdedOut
                 + " requests=" + requests + " served=" + served
+                + " long_answers=" + longAnswers + " long_broken=" + longBroken
                 + " refused=" + refused + " failed=" + failed + " overdue=" + overdue + " attempts="
                 + attempts
                 + " probes=" + probes + " server_connections=" + serverConnections
--- /dev/null
+++ b/pooler/src/test/java/frostreel/LongValuesTest.java
@@ -0,0 +1,232 @@
+package frostreel;
+
+import static frostreel.Stage.host;
+import static frostreel.Stage.look;
+import static frostreel.Stage.post;
+import static frostreel.Stage.rows;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.net.SocketException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.SplittableRandom;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Values too long to be held go on as they come. */
+@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+class LongValuesTest {
+    private static final int LONG = 4 << 20;
+    private static final byte[] VALUE = new byte[LONG];
+    private Stage stage;
+    private Stage.Peer primary;
+    private Stage.Peer replica;
+
+    static {
+        new SplittableRandom(3).nextBytes(VALUE);
+    }
+
+    @BeforeEach void raise() throws Exception {
+        stage = new Stage();
+        primary = stage.server(rows("from-primary", "primary"));
+        replica = stage.server(rows("from-replica", "replica"));
+        stage.start(host("a", primary, "primary", "Ready"), host("b", replica, "replica", "Ready"));
+    }
+
+    @AfterEach void strike() throws Exception {
+        stage.strike();
+    }
+
+    /** A row's description and its head; the value is to follow. */
+    private static byte[] head(int rowLength, int valueLength) {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.writeBytes(Stage.bytes('T', "\0\1v|" + "|".repeat(18)));
+        out.write('D');
+        out.writeBytes(ByteBuffer.allocate(10).putInt(rowLength + 10).putShort((short) 1).putInt(valueLength)
+                .array());
+        return out.toByteArray();
+    }
+
+    private static final byte[] TAIL = tail();
+
+    private static byte[] tail() {
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        out.writeBytes(Stage.bytes('C', "SELECT 1|"));
+        out.writeBytes(Stage.bytes('S', "role|replica|"));
+        out.writeBytes(Stage.READY);
+        return out.toByteArray();
+    }
+
+    private static Stage.Script whole(byte[] value) {
+        return (text, link) -> link.send(head(value.length, value.length), value, TAIL);
+    }
+
+    /** Reads an answer's description and the row's head, up to the value. */
+    private static void begin(Stage.Link c, int length) throws IOException {
+        assertThat(c.take()).startsWith("T");
+        assertThat(c.in.readUnsignedByte()).isEqualTo('D');
+        assertThat(c.in.readInt()).isEqualTo(length + 10);
+        assertThat(c.in.readShort()).isEqualTo((short) 1);
+        assertThat(c.in.readInt()).isEqualTo(length);
+    }
+
+    private static void end(Stage.Link c) throws IOException {
+        assertThat(c.take()).startsWith("C");
+        assertThat(c.take()).startsWith("Z");
+    }
+
+    @Test void theFirstBytesGoOnBeforeTheLastHaveComeAndTheConnectionServesOn() throws Exception {
+        CountDownLatch first = new CountDownLatch(1);
+        replica.script = (text, link) -> {
+            link.send(head(LONG, LONG), Arrays.copyOf(VALUE, 100));
+            await(first);
+            link.send(Arrays.copyOfRange(VALUE, 100, LONG));
+            for (byte b : TAIL) {
+                link.out.write(b);
+            }
+        };
+        try (Stage.Link c = stage.client()) {
+            c.send(Stage.query(look("1", 9000)), Stage.query(post("2", 9000)));
+            begin(c, LONG);
+            assertThat(c.in.readNBytes(100)).isEqualTo(Arrays.copyOf(VALUE, 100));
+            first.countDown();
+            assertThat(c.in.readNBytes(LONG - 100)).isEqualTo(Arrays.copyOfRange(VALUE, 100, LONG));
+            end(c);
+            assertThat(c.takeAnswer().get(1)).endsWith("from-primary");
+            replica.script = whole(VALUE);
+            c.send(Stage.query(look("3", 9000)));
+            begin(c, LONG);
+            assertThat(c.in.readNBytes(LONG)).isEqualTo(VALUE);
+            end(c);
+            assertThat(replica.links.get()).as("the server's connection stayed clean").isEqualTo(1);
+            assertThat(stage.pooler.counters()).contains("long_answers=2 long_broken=0");
+        }
+    }
+
+    private static void await(CountDownLatch latch) throws IOException {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            throw new IOException(e);
+        }
+    }
+
+    @Test void aValueThatBreaksOffEndsTheClientsConnectionAndIsAskedForNowhereElse() throws Exception {
+        replica.script = (text, link) -> {
+            link.send(head(LONG, LONG), Arrays.copyOf(VALUE, LONG / 2));
+            link.close();
+        };
+        try (Stage.Link c = stage.client()) {
+            c.send(Stage.query(look("1", 9000)));
+            begin(c, LONG);
+            assertThat(c.in.readNBytes(LONG).length).isLessThanOrEqualTo(LONG / 2);
+            assertThat(c.endsNext()).isTrue();
+        } catch (SocketException reset) {
+            assertThat(reset).hasMessageContaining("reset"); // It can tell, too.
+        }
+        assertThat(primary.heard).isEmpty();
+    }
+
+    @Test void anErrorBehindAValueEndsTheClientsConnection() throws Exception {
+        replica.script = (text, link) -> link.send(head(LONG, LONG), VALUE, Stage.error("XX000"),
+                Stage.READY);
+        try (Stage.Link c = stage.client()) {
+            c.send(Stage.query(look("1", 9000)));
+            begin(c, LONG);
+            c.in.readNBytes(LONG);
+            assertThat(c.endsNext()).isTrue();
+        }
+    }
+
+    @Test void aClientThatLeavesInTheMiddleEndsTheServersSending() throws Exception {
+        CountDownLatch first = new CountDownLatch(1);
+        replica.script = (text, link) -> {
+            link.send(head(LONG, LONG), Arrays.copyOf(VALUE, LONG / 2));
+            await(first);
+        };
+        try (Stage.Link c = stage.client()) {
+            c.send(Stage.query(look("1", 9000)));
+            begin(c, LONG);
+        }
+        first.countDown();
+        replica.ended.take();
+        try (Stage.Link c = stage.client()) {
+            assertThat(c.ask(post("2", 9000)).get(1)).endsWith("from-primary");
+        }
+    }
+
+    @Test void aRowWhoseValueDoesNotFitItIsNotPassedOn() throws Exception {
+        replica.script = (text, link) -> link.send(head(LONG, LONG - 1), VALUE, TAIL);
+        try (Stage.Link c = stage.client()) {
+            assertThat(c.ask(look("1", 9000)).get(1)).endsWith("from-primary");
+        }
+    }
+
+    /** Where a program listens, once it is ready. */
+    private static int port(BufferedReader log) throws IOException {
+        int port = 0;
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            if (line.contains("listening on /127.0.0.1:")) {
+                port = Integer.parseInt(line.replaceAll(".*127.0.0.1:(\\d+) as .*", "$1"));
+            } else if (line.endsWith(" ready")) {
+                return port;
+            }
+        }
+        throw new IOException("the program has ended");
+    }
+
+    /** Twenty rows of 15 MiB that nobody reads until all have begun: held whole, they are 300 MB. */
+    @Test void moreAtOnceThanMemoryHoldsWaitsWithItsServers() throws Exception {
+        byte[] part = Arrays.copyOf(VALUE, 3 << 20);
+        int parts = 5;
+        int clients = 20;
+        replica.script = (text, link) -> {
+            link.send(head(parts * part.length, parts * part.length));
+            for (int i = 0; i < parts; i++) {
+                link.out.write(part);
+            }
+            link.send(TAIL);
+        };
+        ProcessBuilder builder = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(),
+                "-Xmx32m", "-XX:+ExitOnOutOfMemoryError", "-cp", System.getProperty("java.class.path"),
+                "frostreel.cli.Main", "serve").redirectErrorStream(true);
+        builder.environment().putAll(Stage.environment(Stage.configuration(stage.discovery.address(),
+                host("a", primary, "primary", "Ready"), host("b", replica, "replica", "Ready"))
+                .replace("\"sockets\":128", "\"sockets\":512")));
+        Process program = builder.start();
+        List<Stage.Link> all = new ArrayList<>();
+        try (BufferedReader log = program.inputReader()) {
+            int port = port(log);
+            for (int i = 0; i < clients; i++) {
+                Stage.Link c = new Stage.Link(new Socket("127.0.0.1", port));
+                all.add(c);
+                c.send(Stage.startup());
+                c.takeAnswer();
+                c.send(Stage.query(look("n" + i, 9000)));
+            }
+            for (Stage.Link c : all) {
+                begin(c, parts * part.length);
+            }
+            for (Stage.Link c : all) {
+                for (int i = 0; i < parts; i++) {
+                    assertThat(Arrays.equals(c.in.readNBytes(part.length), part)).isTrue();
+                }
+                end(c);
+            }
+        } finally {
+            for (Stage.Link c : all) {
+                c.close();
+            }
+            program.destroyForcibly().waitFor();
+        }
+    }
+}
