Refuse held writes before half of their time while no primary is known

A probe of the group's head showed why no primary could be had: the operators had taken out the very server that had become primary. Ruled out: a head found late (probes go round every 0.1 s; after the call back it is found within 0.02 s) and reads (refused after 74 ms, no replica new enough).

--- a/decisions/src/main/java/willowfield/Brain.java
+++ b/decisions/src/main/java/willowfield/Brain.java
@@ -565,7 +565,8 @@
         return any && now < c.patienceUs;
     }
 
-    /** So much of its time gone, nothing sent: its client does better to ask elsewhere than to wait on. */
+    /** So much of its time gone, nothing sent: its client does better to ask elsewhere than to wait on. So
+     * with a write while no primary is known; for room at one that is, it waits as long as it may. */
     private boolean stuck(long now, Call c) {
         double wait = WAIT * (c.q.deadlineUs() - c.arrivedUs);
         return c.attempts == 0 && now + 2 * sweepUs > c.arrivedUs + wait;
@@ -875,7 +876,7 @@
         for (Group g : List.copyOf(waiting.values())) {
             for (int i = 0; i < g.held.size(); i++) {
                 Call c = g.held.get(i);
-                if (spent(now, c)) {
+                if (spent(now, c) || g.head == null && stuck(now, c)) {
                     g.held.remove(i--);
                     giveUp(now, c);
                 }
--- a/decisions/src/test/java/willowfield/BrainTest.java
+++ b/decisions/src/test/java/willowfield/BrainTest.java
@@ -836,4 +836,19 @@
         r.end("of the new class", Outcome.RESET);
         assertEquals(List.of("of the new class"), r.failed);
     }
+
+    @Test
+    void aWriteThatNothingWasSentForIsRefusedBeforeHalfOfItsTimeWhileNoPrimaryIsKnown() {
+        Recorder r = new Setup().start(up("a", 0, true), up("b", 0, false));
+        r.list(ListKind.FULL, with(up("a", 0, true), State.DRAINING, 0), up("b", 0, false));
+        r.ask("first", KEYED, 0, 2_000_000);
+        r.end("first", Outcome.MISS, Role.REPLICA, 0);
+        r.ask("w", KEYED, 0, 2_000_000);
+        r.pass(800_000);
+        assertEquals(List.of(), r.refused);
+        r.pass(150_000);
+        assertEquals(List.of("w"), r.refused);
+        r.pass(1_100_000);
+        assertEquals(List.of("w", "first"), r.refused);
+    }
 }
