Upgrade, call and empty real processes in the lab; look into the known list at SIGHUP

Checked: every key cut out by a test but those under known, which Shape did not look into; it does now.

--- a/lab/src/main/java/frostreel/lab/processes/Load.java
+++ b/lab/src/main/java/frostreel/lab/processes/Load.java
@@ -33,6 +33,8 @@
     private static final int SESSIONS = 500;
     private static final int MOST_BYTES = 1 << 18;
     private static final long ASK_AGAIN_US = 50_000;
+    private static final long WATCH_US = 100_000;
+    private static final long LEAVES_US = 200_000;
     private static final long LEAST_ADVICE_US = 50_000;
     /** Beyond its deadline a client waits so long for an answer that earns nothing. */
     private static final long GIVE_UP_US = 500_000;
@@ -66,6 +68,8 @@
     long unplaced;
     /** Answers with a value that no server gave for their request. */
     long foreign;
+    /** Requests that crossed the end of a connection, and came again on a new one. */
+    long atTheDoor;
     private long beganUs;
     private long ids;
     /** Requests asked and not ended, those that come again later among them. */
@@ -144,6 +148,17 @@
         nextArrival();
     }
 
+    /** Asks each pooler that is in by an empty query, ten times a second; after a no it is out soon. */
+    void watchDoors() {
+        for (Door door : doors) {
+            if (door.in && !door.asking) {
+                door.asking = true;
+                new Client(door).send(null);
+            }
+        }
+        loop.deadlines().after(WATCH_US, this::watchDoors);
+    }
+
     Second[] seconds() {
         return seconds;
     }
@@ -322,14 +337,24 @@
         private void emptyAnswered() {
             empty = false;
             error = null;
-            if (emptyAnswer) {
+            if (emptyAnswer && door.in) {
+                door.asking = false;
+                close();
+            } else if (emptyAnswer) {
                 door.asking = false;
                 door.in = true;
                 door.idle.add(this);
                 door.whenIn.accept(door);
             } else {
                 close();
-                askLater();
+                if (door.in) { // Until it has left the front, clients are still dealt out to it.
+                    loop.deadlines().after(LEAVES_US, () -> {
+                        door.asking = false;
+                        door.out();
+                    });
+                } else {
+                    askLater();
+                }
             }
         }
 
@@ -357,6 +382,7 @@
                 }
                 if (used && value == null && !r.resent) {
                     r.resent = true;
+                    atTheDoor++;
                     place(r);
                 } else {
                     unanswered++;
--- a/lab/src/main/java/frostreel/lab/processes/ProcessExperiment.java
+++ b/lab/src/main/java/frostreel/lab/processes/ProcessExperiment.java
@@ -88,7 +88,20 @@
             return;
         }
         int pooler = numbered(e, "pooler", fleet.whole("poolers"), wrong);
+        if (!operated() && (e.name().equals("upgrade") || e.name().equals("call"))) {
+            wrong.add(e.fault(file, null, "the poolers of this fleet are not operated"));
+        }
         switch (e.name()) {
+            case "upgrade" -> faults.add(f -> f.at(atUs, () -> f.upgrade(pooler, e.has("diesAfterMs")
+                    ? e.ms("diesAfterMs") : 0)));
+            case "call" -> {
+                boolean named = e.has("on");
+                int server = named ? numbered(e, "on", servers(), wrong) : -1;
+                if (named != List.of("SUSPEND", "RESTORE").contains(e.text("line"))) {
+                    wrong.add(e.fault(file, "on", "is for SUSPEND and RESTORE, and for these alone"));
+                }
+                faults.add(f -> f.at(atUs, () -> f.call(pooler, e.text("line"), server)));
+            }
             case "kill" -> faults.add(f -> f.at(atUs, () -> f.kill(pooler, e.seconds("awayS"), () -> { })));
             case "stop" -> faults.add(f -> f.at(atUs, () -> f.stop(pooler, e.seconds("awayS"), () -> { })));
             case "pause" -> between(atUs, untilUs, f -> f.pause(pooler, true), f -> f.pause(pooler, false));
@@ -184,6 +197,7 @@
                 }
                 checks.add(new Check("worth", from, to, e.number("atLeast")));
             }
+            case "upgrades" -> checks.add(new Check("upgrades", 0, 0, e.number("atLeast")));
             default -> checks.add(new Check(e.name(), 0, 0, e.number("atMost")));
         }
     }
@@ -210,6 +224,11 @@
         return fleet.whole("silentAfterMs");
     }
 
+    /** Whether operators call, and each pooler has a listening socket that outlives it. */
+    boolean operated() {
+        return fleet.flag("operated");
+    }
+
     int durationS() {
         return durationS;
     }
--- /dev/null
+++ b/lab/src/main/java/frostreel/lab/processes/StaffCall.java
@@ -0,0 +1,51 @@
+package frostreel.lab.processes;
+
+import frostreel.net.Loop;
+import frostreel.net.Stream;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.function.Consumer;
+import org.xnio.IoFuture;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+
+/** One call of an operator's: a line, and the line that answers it; empty where none comes. */
+final class StaffCall implements Stream.Handler {
+    private final Consumer<String> answer;
+    private final StringBuilder heard = new StringBuilder();
+    private boolean over;
+
+    private StaffCall(Consumer<String> answer) {
+        this.answer = answer;
+    }
+
+    static void make(Loop loop, InetSocketAddress at, String line, Consumer<String> answer) {
+        StaffCall call = new StaffCall(answer);
+        IoFuture<StreamConnection> to = loop.thread().openStreamConnection(at, null, OptionMap.EMPTY);
+        to.addNotifier(new IoFuture.HandlingNotifier<StreamConnection, Void>() {
+            @Override public void handleDone(StreamConnection connection, Void none) {
+                Stream stream = new Stream(loop, connection, call);
+                stream.resumeReads();
+                stream.write((line + "\n").getBytes(StandardCharsets.US_ASCII));
+            }
+
+            @Override public void handleFailed(IOException e, Void none) {
+                call.ended();
+            }
+        }, null);
+    }
+
+    @Override public void received(ByteBuffer in) {
+        heard.append(StandardCharsets.US_ASCII.decode(in));
+    }
+
+    /** The pooler ends the connection behind its answer. */
+    @Override public void ended() {
+        if (!over) {
+            over = true;
+            answer.accept(heard.toString().trim());
+        }
+    }
+}
--- a/lab/src/main/java/frostreel/lab/rules/RuleBook.java
+++ b/lab/src/main/java/frostreel/lab/rules/RuleBook.java
@@ -152,6 +152,7 @@
     static final class Drains extends Rule {
         private final long withinUs;
         private final Map<Integer, Map<String, Long>> toldUs = new HashMap<>();
+        private final Map<String, Long> outUs = new HashMap<>();
 
         Drains(long withinUs) {
             super("drains and ends kept");
@@ -171,8 +172,17 @@
             toldUs.remove(pooler);
         }
 
+        @Override public void takenOut(long nowUs, int pooler, String server, boolean isOut) {
+            if (isOut) {
+                outUs.putIfAbsent(pooler + " " + server, nowUs);
+            } else {
+                outUs.remove(pooler + " " + server);
+            }
+        }
+
         @Override public void sent(long nowUs, int pooler, String id, String server) {
-            Long at = toldUs.getOrDefault(pooler, Map.of()).get(server);
+            Long out = outUs.get(pooler + " " + server);
+            Long at = out != null ? out : toldUs.getOrDefault(pooler, Map.of()).get(server);
             if (at != null && nowUs > at + withinUs) {
                 convict(nowUs, id + " was sent to " + server + " by pooler " + pooler + " "
                         + (nowUs - at) + " us after its end was told");
@@ -251,6 +261,10 @@
         rules.forEach(r -> r.told(nowUs, pooler, server, state));
     }
 
+    @Override public void takenOut(long nowUs, int pooler, String server, boolean isOut) {
+        rules.forEach(r -> r.takenOut(nowUs, pooler, server, isOut));
+    }
+
     @Override public void fell(long nowUs, String server) {
         rules.forEach(r -> r.fell(nowUs, server));
     }
--- a/lab/src/main/java/frostreel/lab/rules/Witness.java
+++ b/lab/src/main/java/frostreel/lab/rules/Witness.java
@@ -24,6 +24,9 @@
     /** A pooler's list came to name a server so. */
     default void told(long nowUs, int pooler, String server, State state) {}
 
+    /** Operators took a server out at a pooler, or called it back, whatever its list says meanwhile. */
+    default void takenOut(long nowUs, int pooler, String server, boolean isOut) {}
+
     /** A cold server was sent more than it could take. */
     default void fell(long nowUs, String server) {}
 
--- a/pooler/src/main/java/frostreel/config/Config.java
+++ b/pooler/src/main/java/frostreel/config/Config.java
@@ -47,12 +47,18 @@
             throw new ConfigException("GW_CONFIG is not set");
         }
         try {
-            JSONObject json = new JSONObject(Files.readString(Path.of(file)));
-            return read(json, environment);
+            return parse(Files.readString(Path.of(file)), environment);
         } catch (IOException e) {
             throw new ConfigException("GW_CONFIG: cannot read " + file);
+        }
+    }
+
+    /** Reads the file's text; what the environment says goes first. */
+    public static Config parse(String text, Map<String, String> environment) throws ConfigException {
+        try {
+            return read(new JSONObject(text), environment);
         } catch (JSONException e) {
-            throw new ConfigException("GW_CONFIG: " + file + " is not a JSON object: " + e.getMessage());
+            throw new ConfigException("GW_CONFIG: not a JSON object: " + e.getMessage());
         } catch (Malformed e) {
             throw new ConfigException("GW_CONFIG: " + e.getMessage());
         }
@@ -66,13 +72,17 @@
     public static Config reload(Map<String, String> environment, Config inForce) throws ConfigException {
         Map<String, String> rest = new HashMap<>(environment);
         rest.remove("GW_DISCOVERY");
-        Config fresh = load(rest);
-        String missing = Shape.missing(inForce.source, fresh.source);
+        return load(rest).inPlaceOf(inForce);
+    }
+
+    /** This, where it has every key of the one in force. */
+    public Config inPlaceOf(Config inForce) throws ConfigException {
+        String missing = Shape.missing(inForce.source, source);
         if (missing != null) {
             throw new ConfigException("GW_CONFIG: field '" + missing
                     + "' is missing, which the file in force has");
         }
-        return fresh;
+        return this;
     }
 
     /** Whether another configuration has its lists from the same place, and reads them the same way. */
--- a/pooler/src/main/java/frostreel/config/Shape.java
+++ b/pooler/src/main/java/frostreel/config/Shape.java
@@ -8,11 +8,9 @@
 /**
  * Whether a file that was written anew is whole: what the file in force states it must state too, as a value
  * left out would get a default that nobody chose. Lists may change in length; of the objects in one, each has
- * to state what all of the old list's did. The list of servers is as old as the file, and is not looked into.
+ * to state what all of the old list's did.
  */
 final class Shape {
-    private static final String SERVERS = "known";
-
     private Shape() {}
 
     /** The first key that is missing, with its way there; null where none is. */
@@ -26,7 +24,7 @@
                 return way + key;
             }
             String deeper = null;
-            if (before.get(key) instanceof JSONObject a && !key.equals(SERVERS)) {
+            if (before.get(key) instanceof JSONObject a) {
                 deeper = now.get(key) instanceof JSONObject b ? missing(way + key + ".", a, b) : way + key;
             } else if (before.get(key) instanceof JSONArray a) {
                 deeper = now.get(key) instanceof JSONArray b ? missing(way + key, a, b) : way + key;
