Say at the start where SIGHUP is ignored and will not come

Change: Hangup tells whether the signal was ignored, and the start warns; a test starts the program so.

--- a/pooler/src/main/java/frostreel/cli/Hangup.java
+++ b/pooler/src/main/java/frostreel/cli/Hangup.java
@@ -10,7 +10,11 @@
 final class Hangup {
     private Hangup() {}
 
-    static void handle(Runnable task) {
+    /**
+     * Whether the signal will come: a process that was started with it ignored, as by nohup, never gets it, and
+     * the JVM leaves that as it is.
+     */
+    static boolean handle(Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -19,8 +23,9 @@
                         task.run();
                         return null;
                     });
-            signal.getMethod("handle", signal, handler).invoke(null,
+            Object before = signal.getMethod("handle", signal, handler).invoke(null,
                     signal.getConstructor(String.class).newInstance("HUP"), own);
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("SIGHUP cannot be handled here", e);
         }
--- a/pooler/src/main/java/frostreel/cli/Serve.java
+++ b/pooler/src/main/java/frostreel/cli/Serve.java
@@ -38,7 +38,9 @@
             inForce = config;
             Pooler pooler = new Pooler(config, operators);
             Runtime.getRuntime().addShutdownHook(new Thread(() -> end(pooler), "stop"));
-            Hangup.handle(() -> reload(pooler));
+            if (!Hangup.handle(() -> reload(pooler))) {
+                LOG.warning("SIGHUP was ignored at the start and will not come: settings wait for a restart");
+            }
             return GOES_ON;
         } catch (ConfigException | FaultyFileException e) {
             System.err.println("frostreel: " + e.getMessage());
--- a/pooler/src/test/java/frostreel/ServingTest.java
+++ b/pooler/src/test/java/frostreel/ServingTest.java
@@ -676,6 +676,20 @@
         }
     }
 
+    @Test void aStartWithHangupsIgnoredIsToldOf() throws Exception {
+        Map<String, String> environment = Stage.environment(Stage.configuration(stage.discovery.address()));
+        ProcessBuilder builder = new ProcessBuilder("/bin/sh", "-c", "trap '' HUP; exec \"$@\"", "sh",
+                ProcessHandle.current().info().command().orElseThrow(), "-cp",
+                System.getProperty("java.class.path"), "frostreel.cli.Main", "serve");
+        builder.environment().putAll(environment);
+        Process program = builder.start();
+        try (BufferedReader log = program.errorReader()) {
+            await(log, "SIGHUP was ignored at the start");
+        } finally {
+            program.destroyForcibly();
+        }
+    }
+
     @Test void aHangupTakesNewSettingsAndAFaultyFileNeverReplacesThem() throws Exception {
         Path settings = Files.createTempFile("settings", ".xml");
         String good = "<frostreel xmlns=\"urn:frostreel:settings:1\"><log format=\"json\"/></frostreel>";
