Test operators' calls and long values in more hard cases, and lists in three layouts

Cases of the issue that had no test yet: all replicas and a whole group taken out, an attempt that waits for a connection to a server taken out, a server that goes and comes back in the lists while it is out, a slow reader and a dripping server beside a quick client, lists indented and in pieces of one byte.

--- a/pooler/src/main/java/frostreel/cli/Hangup.java
+++ b/pooler/src/main/java/frostreel/cli/Hangup.java
@@ -11,8 +11,8 @@
     private Hangup() {}
 
     /**
-     * Whether the signal will come: a process that was started with it ignored, as by nohup, never gets it, and
-     * the JVM leaves that as it is.
+     * Whether the signal will come: a process that was started with it ignored, as by nohup, never gets it,
+     * and the JVM leaves that as it is.
      */
     static boolean handle(Runnable task) {
         try {
--- a/pooler/src/test/java/frostreel/LongValuesTest.java
+++ b/pooler/src/test/java/frostreel/LongValuesTest.java
@@ -171,6 +171,43 @@
         }
     }
 
+    /** A client that takes its time, and a server that gives a byte now and then, hold nobody up. */
+    @Test void slowPeersKeepTheOthersFromNothing() throws Exception {
+        CountDownLatch go = new CountDownLatch(1);
+        replica.script = (text, link) -> {
+            if (text.contains("id=drip,")) {
+                link.send(head(LONG, LONG), Arrays.copyOf(VALUE, 1));
+                await(go);
+                for (int i = 1; i < 40; i++) {
+                    link.out.write(VALUE[i]);
+                }
+                link.send(Arrays.copyOfRange(VALUE, 40, LONG), TAIL);
+            } else {
+                whole(VALUE).answer(text, link);
+            }
+        };
+        try (Stage.Link slow = stage.client(); Stage.Link drip = stage.client();
+                Stage.Link quick = stage.client()) {
+            slow.send(Stage.query(look("slow", 9000)));
+            drip.send(Stage.query(look("drip", 9000)));
+            begin(slow, LONG);
+            begin(drip, LONG);
+            for (int i = 0; i < 5; i++) {
+                quick.send(Stage.query(look("quick" + i, 9000)));
+                begin(quick, LONG);
+                assertThat(quick.in.readNBytes(LONG)).isEqualTo(VALUE);
+                end(quick);
+                assertThat(slow.in.readNBytes(1000)).isEqualTo(Arrays.copyOfRange(VALUE, 1000 * i,
+                        1000 * i + 1000));
+            }
+            go.countDown();
+            assertThat(drip.in.readNBytes(LONG)).isEqualTo(VALUE);
+            end(drip);
+            assertThat(slow.in.readNBytes(LONG - 5000)).isEqualTo(Arrays.copyOfRange(VALUE, 5000, LONG));
+            end(slow);
+        }
+    }
+
     /** Where a program listens, once it is ready. */
     private static int port(BufferedReader log) throws IOException {
         int port = 0;
--- a/pooler/src/test/java/frostreel/OperatorsTest.java
+++ b/pooler/src/test/java/frostreel/OperatorsTest.java
@@ -157,4 +157,57 @@
                     .singleElement().asString().doesNotContain("|C53300|");
         }
     }
+
+    @Test void withAllReplicasOutReadsGoToThePrimaryAndWithTheWholeGroupOutAreRefused() throws Exception {
+        try (Stage.Link c = stage.client()) {
+            assertThat(stage.call("SUSPEND b")).isEqualTo("OK\n");
+            assertThat(value(c.ask(look("1", 9000)))).isEqualTo("from-primary");
+            assertThat(stage.call("SUSPEND a")).isEqualTo("OK\n");
+            assertThat(c.ask(look("2", 600))).singleElement().asString().contains("|C53300|");
+            assertThat(stage.call("RESTORE a")).isEqualTo("OK\n");
+            assertThat(value(c.ask(post("3", 9000)))).isEqualTo("from-primary");
+        }
+    }
+
+    /** The attempt waits for a connection that never comes up; the call must not wait for it. */
+    @Test void whatWaitsForAConnectionToAServerTakenOutGoesElsewhereAtOnce() throws Exception {
+        CountDownLatch welcomed = new CountDownLatch(1);
+        CountDownLatch over = new CountDownLatch(1);
+        replica.welcome = (text, link) -> {
+            welcomed.countDown();
+            try {
+                over.await();
+            } catch (InterruptedException e) {
+                throw new java.io.IOException(e);
+            }
+        };
+        try (Stage.Link c = stage.client()) {
+            c.send(Stage.query(look("1", 9000)));
+            welcomed.await();
+            assertThat(stage.call("SUSPEND b")).isEqualTo("OK\n");
+            assertThat(value(c.takeAnswer())).isEqualTo("from-primary");
+        } finally {
+            over.countDown();
+        }
+    }
+
+    @Test void aServerThatGoesAndComesBackInTheListsWhileItIsOutStaysOut() throws Exception {
+        assertThat(stage.call("SUSPEND b")).isEqualTo("OK\n");
+        String up = host("b", replica, "replica", "Ready");
+        int seq = 2;
+        stage.told.clear();
+        for (String state : List.of("Gone", "Ready", "Terminating", "Ready")) {
+            stage.lists.add(list(seq++, false, up.replace("Ready", state)));
+        }
+        stage.lists.add(list(seq, false));
+        for (int i = 0; i < 5; i++) {
+            stage.told.take();
+        }
+        try (Stage.Link c = stage.client()) {
+            for (int i = 0; i < 20; i++) {
+                assertThat(value(c.ask(look("n" + i, 9000)))).isEqualTo("from-primary");
+            }
+            assertThat(replica.heard).isEmpty();
+        }
+    }
 }
--- /dev/null
+++ b/pooler/src/test/java/frostreel/discovery/ListLayoutTest.java
@@ -0,0 +1,39 @@
+package frostreel.discovery;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import frostreel.config.HostList;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.json.JSONObject;
+import org.junit.jupiter.api.Test;
+
+/** Lists as agents write them. */
+class ListLayoutTest {
+    private static final JSONObject LIST = new JSONObject("{\"seq\":41,\"whole\":true,\"hosts\":[{\"host\":\"a\","
+            + "\"dial\":\"127.0.0.1:9\",\"site\":\"dc\",\"class\":\"m\",\"block\":2,\"health\":\"Ready\","
+            + "\"share\":1.0,\"born_ms\":0,\"role\":\"primary\"}]}");
+
+    private static HostList inPiecesOfOneByte(String body) throws Exception {
+        HttpResponse response = new HttpResponse();
+        byte[] bytes = ("HTTP/1.1 200 OK\r\nContent-Type: application/json\r\nContent-Length: "
+                + body.length() + "\r\n\r\n" + body).getBytes(StandardCharsets.US_ASCII);
+        for (int i = 0; i < bytes.length; i++) {
+            assertThat(response.complete()).as("at byte %d", i).isFalse();
+            response.accept(ByteBuffer.wrap(bytes, i, 1));
+        }
+        assertThat(response.complete()).isTrue();
+        return HostList.read(new JSONObject(response.body()).toMap(), List.of("dc"), List.of("m"));
+    }
+
+    @Test void aListIsTheSameHoweverItIsIndentedAndCut() throws Exception {
+        HostList plain = inPiecesOfOneByte(LIST.toString());
+        assertThat(plain.hosts()).singleElement().satisfies(h -> {
+            assertThat(h.member().id()).isEqualTo("a");
+            assertThat(h.member().primary()).isTrue();
+        });
+        assertThat(inPiecesOfOneByte(LIST.toString(1))).isEqualTo(plain);
+        assertThat(inPiecesOfOneByte(LIST.toString(8).replace("\n", "\r\n\t"))).isEqualTo(plain);
+    }
+}
