Be ready 0.1 s after discovery was asked; end the watch on orders with its program

Watch now tells of its first call, and 0.3 s stay the bound only while no connection to discovery is up.

A test of settings that change waits for the reload now, which it raced.

--- a/lab/src/main/java/frostreel/lab/processes/Fleet.java
+++ b/lab/src/main/java/frostreel/lab/processes/Fleet.java
@@ -412,11 +412,14 @@
     void call(int pooler, String call, int server) {
         Pooler p = poolers.get(pooler);
         String id = server < 0 ? null : server(server).id;
+        if (call.equals("RESTORE")) {
+            rules.takenOut(kernel.now(), pooler, id, false); // It may be used before the answer has come.
+        }
         StaffCall.make(loop, p.process.control(), id == null ? call : call + " " + id, answer -> {
             tell(p.process.name() + ": " + call + (id == null ? "" : " " + id) + ": " + answer);
             refusedCalls += answer.startsWith("OK") ? 0 : 1;
-            if (id != null && answer.startsWith("OK")) {
-                rules.takenOut(kernel.now(), pooler, id, call.equals("SUSPEND"));
+            if (call.equals("SUSPEND") && answer.startsWith("OK")) {
+                rules.takenOut(kernel.now(), pooler, id, true);
             }
         });
     }
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -1,6 +1,7 @@
 package frostreel;
 
 import frostreel.broker.Broker;
+import frostreel.broker.Deadlines;
 import frostreel.config.Config;
 import frostreel.config.HostList;
 import frostreel.control.CallListener;
@@ -30,11 +31,14 @@
     /** Started without a list, it serves after so long at the latest, and learns of servers as they come. */
     private static final long LIST_PATIENCE_US = 2_000_000;
     /**
-     * A silent discovery keeps a pooler out for no longer than this where that knows its servers. An agent
-     * that has something to tell does so at once. Where it lets us wait for longer, discovery is overbooked
-     * or down and has told nothing yet: to wait on would only keep out a pooler that the others lack.
+     * A silent discovery keeps a pooler out for no longer than this, from the writing of its first call,
+     * where that knows its servers. An agent that has something to tell does so at once, in a tenth of this.
+     * Where it lets us wait for longer, discovery is overbooked or down and has told nothing yet: to wait on
+     * would only keep out a pooler that the others lack.
      */
-    static final long KNOWN_PATIENCE_US = 300_000;
+    static final long KNOWN_PATIENCE_US = 100_000;
+    /** So many times as long, from the start, where no connection to discovery comes up. */
+    private static final int UNREACHED = 3;
     private static final long CHECK_US = 20_000;
     private static final long LEAVE_MS = 300;
     private static final Logger LOG = Logger.getLogger(Pooler.class.getName());
@@ -123,8 +127,16 @@
                 LOG.info("operators call at " + calls.address());
             }
             listening.countDown();
-            loop.deadlines().after(known.hosts().isEmpty() ? LIST_PATIENCE_US : knownPatienceUs,
-                    this::becomeReady);
+            if (known.hosts().isEmpty()) {
+                loop.deadlines().after(LIST_PATIENCE_US, this::becomeReady);
+            } else {
+                Deadlines.Deadline unreached = loop.deadlines().after(UNREACHED * knownPatienceUs,
+                        this::becomeReady);
+                watch.onAsked(() -> {
+                    loop.deadlines().cancel(unreached);
+                    loop.deadlines().after(knownPatienceUs, this::becomeReady);
+                });
+            }
         } catch (IOException e) {
             LOG.log(Level.SEVERE, "GW_LISTEN, GW_CONTROL: cannot listen on " + config.listen()
                     + (calls == null ? "" : " and " + config.control()), e);
--- a/pooler/src/main/java/frostreel/control/OrderKeeper.java
+++ b/pooler/src/main/java/frostreel/control/OrderKeeper.java
@@ -5,7 +5,9 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.concurrent.RejectedExecutionException;
 import java.util.function.Consumer;
+import java.util.function.Supplier;
 import java.util.logging.Logger;
 
 /**
@@ -50,29 +52,40 @@
 
     /** Looks on and on for what other processes heard. */
     void watch(Consumer<Map<String, Orders.Order>> found) {
-        loop.deadlines().after(LOOK_US, () -> loop.worker().execute(() -> {
-            Map<String, Orders.Order> heard = look();
-            loop.thread().execute(() -> {
-                if (!heard.isEmpty()) {
-                    found.accept(heard);
+        loop.deadlines().after(LOOK_US, () -> beside(this::look, heard -> {
+            if (!heard.isEmpty()) {
+                found.accept(heard);
+            }
+            watch(found);
+        }));
+    }
+
+    /** Runs what may block on the task thread, and hands what comes of it to the loop. */
+    private <T> void beside(Supplier<T> task, Consumer<T> then) {
+        try {
+            loop.worker().execute(() -> {
+                T result = task.get();
+                try {
+                    loop.thread().execute(() -> then.accept(result));
+                } catch (RejectedExecutionException e) {
+                    LOG.fine("the loop has ended, and takes nothing more");
                 }
-                watch(found);
             });
-        }));
+        } catch (RejectedExecutionException e) {
+            LOG.fine("the program ends, and looks for orders no more");
+        }
     }
 
     /** Keeps these, then tells: null, or why they would not outlast an end. */
     void keep(Map<String, Orders.Order> orders, Consumer<String> done) {
-        loop.worker().execute(() -> {
-            String failure = null;
+        beside(() -> {
             try {
                 folder.write(orders);
+                return null;
             } catch (IOException e) {
                 LOG.warning("orders cannot be kept for a successor: " + e);
-                failure = "cannot be kept for a successor";
+                return "cannot be kept for a successor";
             }
-            String why = failure;
-            loop.thread().execute(() -> done.accept(why));
-        });
+        }, done);
     }
 }
--- a/pooler/src/main/java/frostreel/discovery/Watch.java
+++ b/pooler/src/main/java/frostreel/discovery/Watch.java
@@ -51,6 +51,8 @@
     private boolean silent;
     private boolean stopped;
     private Deadlines.Deadline retry;
+    private Runnable asked = () -> { };
+    private long calls;
 
     /** {@code seq}: the version of the list in hand, or negative for none: the whole list is asked for. */
     public Watch(Loop loop, InetSocketAddress address, List<Object> zones, List<Object> kinds, long seq,
@@ -63,6 +65,14 @@
         this.listener = listener;
     }
 
+    /** What runs once the first call is written; at once where that has been. */
+    public void onAsked(Runnable then) {
+        asked = then;
+        if (calls > 0) {
+            then.run();
+        }
+    }
+
     public void start() {
         patience = loop.deadlines().after(PATIENCE_US, () -> again("no connection in time"));
         IoFuture<StreamConnection> mine = loop.thread().openStreamConnection(address, null,
@@ -108,8 +118,12 @@
         patience = loop.deadlines().after(PATIENCE_US + waitMs * 1000,
                 () -> again("no answer"));
         String host = address.getAddress().getHostAddress() + ":" + address.getPort();
+        boolean first = calls++ == 0;
         stream.write(("GET /discovery/hosts" + query + " HTTP/1.1\r\nHost: " + host + "\r\nAccept: "
                 + "application/json\r\n\r\n").getBytes(StandardCharsets.US_ASCII));
+        if (first) {
+            asked.run();
+        }
     }
 
     @Override public void received(ByteBuffer in) {
--- a/pooler/src/test/java/frostreel/OperatorsTest.java
+++ b/pooler/src/test/java/frostreel/OperatorsTest.java
@@ -143,6 +143,9 @@
             open.send(Stage.query(look("1", 9000)));
             asked.await();
             stage.pooler.reload(Config.load(Stage.environment(changed(stage.discovery.address()))));
+            while (!stage.pooler.counters().contains("reloads=1 ")) {
+                Thread.onSpinWait(); // The reload waits its turn on the I/O thread.
+            }
             String pay = post("2", 9000).replace("c=post", "c=pay");
             assertThat(value(later.ask(pay))).isEqualTo("from-primary");
             assertThat(value(later.ask(post("3", 9000)))).as("clients may still speak by the old")
--- a/pooler/src/test/java/frostreel/ServingTest.java
+++ b/pooler/src/test/java/frostreel/ServingTest.java
@@ -549,7 +549,7 @@
 
     /** A start may take longer than the rule on drains allows; what drained meanwhile counts as told. */
     @Test void nothingIsSentByTheListFromTheStartBeforeDiscoveryToldWhatChangedSince() throws Exception {
-        stage.knownPatienceUs = Long.MAX_VALUE / 2;
+        stage.knownPatienceUs = Long.MAX_VALUE / 8;
         stage.startSilent(host("a", primary, "primary", "Ready"), host("b", replica, "replica", "Ready"));
         try (Stage.Link c = stage.client()) {
             assertThat(c.ask("")).singleElement().asString().contains("|C57P03|");
