--- a/pooler/src/test/java/frostreel/LongValuesTest.java
+++ b/pooler/src/test/java/frostreel/LongValuesTest.java
@@ -3,7 +3,6 @@
 import static frostreel.Stage.host;
 import static frostreel.Stage.look;
 import static frostreel.Stage.post;
-import static frostreel.Stage.rows;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.BufferedReader;
@@ -17,33 +16,19 @@
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
 
 /** Values too long to be held go on as they come. */
-@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
-class LongValuesTest {
+class LongValuesTest extends Story {
     private static final int LONG = 4 << 20;
     private static final byte[] VALUE = new byte[LONG];
-    private Stage stage;
-    private Stage.Peer primary;
-    private Stage.Peer replica;
-
     static {
         new SplittableRandom(3).nextBytes(VALUE);
     }
 
-    @BeforeEach void raise() throws Exception {
-        stage = new Stage();
-        primary = stage.server(rows("from-primary", "primary"));
-        replica = stage.server(rows("from-replica", "replica"));
-        stage.start(host("a", primary, "primary", "Ready"), host("b", replica, "replica", "Ready"));
-    }
-
-    @AfterEach void strike() throws Exception {
-        stage.strike();
+    @BeforeEach void begin() throws Exception {
+        start();
     }
 
     /** A row's description and its head; the value is to follow. */
--- a/pooler/src/test/java/frostreel/OperatorsTest.java
+++ b/pooler/src/test/java/frostreel/OperatorsTest.java
@@ -5,7 +5,6 @@
 import static frostreel.Stage.list;
 import static frostreel.Stage.look;
 import static frostreel.Stage.post;
-import static frostreel.Stage.rows;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import frostreel.config.Config;
@@ -15,32 +14,13 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
-import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
 
 /** What operators call for, over sockets. */
-@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
-class OperatorsTest {
-    private Stage stage;
-    private Stage.Peer primary;
-    private Stage.Peer replica;
-
-    @BeforeEach void raise() throws Exception {
-        stage = new Stage();
-        primary = stage.server(rows("from-primary", "primary"));
-        replica = stage.server(rows("from-replica", "replica"));
-        stage.start(host("a", primary, "primary", "Ready"), host("b", replica, "replica", "Ready"));
-    }
-
-    @AfterEach void strike() throws Exception {
-        stage.strike();
-    }
-
-    private static String value(List<String> answer) {
-        assertThat(answer).as("%s", answer).extracting(m -> m.charAt(0)).containsExactly('T', 'D', 'C');
-        return answer.get(1).substring(7);
+class OperatorsTest extends Story {
+    @BeforeEach void begin() throws Exception {
+        start();
     }
 
     @Test void aServerTakenOutGetsNothingNewThoughDiscoveryListsItUntilItIsCalledBack() throws Exception {
--- a/pooler/src/test/java/frostreel/ServingTest.java
+++ b/pooler/src/test/java/frostreel/ServingTest.java
@@ -30,38 +30,10 @@
 import java.util.logging.LogRecord;
 import java.util.logging.Logger;
 import java.util.logging.StreamHandler;
-import org.junit.jupiter.api.AfterEach;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.junit.jupiter.api.Timeout;
 
 /** One story for each failure that the pooler met, or must stand. */
-/* A read from a socket hears no interrupt, so the test must not run on the thread that waits for it. */
-@Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
-class ServingTest {
-    private Stage stage;
-    private Stage.Peer primary;
-    private Stage.Peer replica;
-
-    @BeforeEach void raise() throws Exception {
-        stage = new Stage();
-        primary = stage.server(rows("from-primary", "primary"));
-        replica = stage.server(rows("from-replica", "replica"));
-    }
-
-    @AfterEach void strike() throws Exception {
-        stage.strike();
-    }
-
-    private void start() throws Exception {
-        stage.start(host("a", primary, "primary", "Ready"), host("b", replica, "replica", "Ready"));
-    }
-
-    private static String value(List<String> answer) {
-        assertThat(answer).as("%s", answer).extracting(m -> m.charAt(0)).containsExactly('T', 'D', 'C');
-        return answer.get(1).substring(7);
-    }
-
+class ServingTest extends Story {
     @Test void startupAndQueriesMayComeTogetherOneByteAtATime() throws Exception {
         start();
         try (Stage.Link c = new Stage.Link(stage.connect())) {
