--- a/decisions/src/main/java/frostreel/operation/Door.java
+++ b/decisions/src/main/java/frostreel/operation/Door.java
@@ -24,8 +24,15 @@
     private static final long KILL_MOST_US = 3_000_000;
     /** So long before SIGKILL is due, all that was taken after the stay is answered. */
     private static final long KILL_MARGIN_US = 400_000;
+    /**
+     * A client whose connection was ended is waited for so long to end it too. What it had sent before it
+     * knew is read and dropped meanwhile: to close over it would reset the connection, and its last answer
+     * might be lost. Less than the margin before SIGKILL, so that a sweep ends in order.
+     */
+    public static final long LINGER_US = 300_000;
     private static final long NEVER = Long.MAX_VALUE;
     private final boolean shared;
+    private final long lingerUs;
     private volatile long longestUs;
     private boolean ready;
     private long emptiedUs = NEVER;
@@ -36,8 +43,19 @@
      * {@code longestUs}: the longest deadline of a request.
      */
     public Door(boolean shared, long longestUs) {
+        this(shared, longestUs, LINGER_US);
+    }
+
+    /** {@code lingerUs}: in place of {@link #LINGER_US}. */
+    public Door(boolean shared, long longestUs, long lingerUs) {
         this.shared = shared;
         this.longestUs = longestUs;
+        this.lingerUs = lingerUs;
+    }
+
+    /** For how long a client is waited for whose connection was ended. */
+    public long lingerUs() {
+        return lingerUs;
     }
 
     /** Other settings have another longest deadline of a request. */
@@ -45,9 +63,12 @@
         longestUs = us;
     }
 
-    /** For so long at the most an end is waited for; from any thread. */
+    /**
+     * For so long at the most an end is waited for; from any thread. What came at the end of the stay has its
+     * whole time, and its answer has to be on its way before the process ends.
+     */
     public long longUs() {
-        return longestUs + STAY_US;
+        return longestUs + STAY_US + KILL_MARGIN_US;
     }
 
     /** Servers are known: serving may begin. */
--- a/lab/src/main/java/frostreel/lab/standin/Database.java
+++ b/lab/src/main/java/frostreel/lab/standin/Database.java
@@ -94,7 +94,7 @@
                 while (job == null && (welcomed ? reader.next() : reader.nextStartup())) {
                     if (!welcomed) {
                         welcomed = true;
-                        stream.write(Messages.welcome());
+                        stream.write(Messages.welcome(1, 1));
                     } else if (reader.type() == 'Q') {
                         query(reader.body());
                     } else {
--- a/lab/src/main/java/frostreel/lab/virtual/VirtualPooler.java
+++ b/lab/src/main/java/frostreel/lab/virtual/VirtualPooler.java
@@ -130,8 +130,10 @@
         kernel.after(links.delayUs(zone, to) + links.delayUs(to, zone), () -> {
             if (!a.server.up()) {
                 finish(a, Result.of(Outcome.CONNECT_FAILED));
-            } else if (out(a)) {
+            } else if (out(a) && a.sink.mayBegin()) {
                 then.run();
+            } else {
+                finish(a, Result.of(Outcome.MOOT));
             }
         });
     }
@@ -189,6 +191,11 @@
         }
     }
 
+    @Override public boolean begun(long attempt) {
+        Attempt a = attempts.get(attempt);
+        return a == null || a.written;
+    }
+
     @Override public boolean abandon(long attempt) {
         Attempt a = attempts.remove(attempt);
         if (a == null) {
--- a/lab/src/main/java/frostreel/lab/virtual/World.java
+++ b/lab/src/main/java/frostreel/lab/virtual/World.java
@@ -8,6 +8,7 @@
 import frostreel.lab.rules.RuleBook;
 import frostreel.lab.rules.Witness.Answer;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.BiFunction;
@@ -30,6 +31,8 @@
     private final SplittableRandom chance;
     private final SplittableRandom[] clients;
     private final long[][] lastWriteUs;
+    /** What each pooler is asked, as a multiple of the mean. */
+    private final double[] asked;
     private long ids;
 
     public World(Plan plan, BiFunction<Router.Settings, Router.Actions, Router> maker) {
@@ -43,6 +46,8 @@
         int count = plan.zones() * plan.poolersPerZone();
         clients = new SplittableRandom[count];
         lastWriteUs = new long[count][SESSIONS];
+        asked = new double[count];
+        Arrays.fill(asked, 1);
         for (int i = 0; i < count; i++) {
             int zone = i % plan.zones();
             clients[i] = seeds.split();
@@ -56,6 +61,18 @@
 
     // ---- Faults; each at a time from the start. ----
 
+    /** From its next request on, the first of all poolers is asked so many times what the last one is. */
+    public void uneven(double times) {
+        double sum = 0;
+        for (int i = 0; i < asked.length; i++) {
+            asked[i] = Math.pow(times, -(double) i / Math.max(1, asked.length - 1));
+            sum += asked[i];
+        }
+        for (int i = 0; i < asked.length; i++) {
+            asked[i] *= asked.length / sum;
+        }
+    }
+
     /** Has something happen. */
     public void at(long us, Runnable what) {
         kernel.after(START_US + us - kernel.now(), what);
@@ -98,7 +115,7 @@
 
     private void nextArrival(VirtualPooler p) {
         SplittableRandom r = clients[p.number];
-        double gapUs = -Math.log(1 - r.nextDouble()) * 1e6 / plan.perPooler();
+        double gapUs = -Math.log(1 - r.nextDouble()) * 1e6 / plan.perPooler() / asked[p.number];
         kernel.after((long) gapUs, () -> {
             if (kernel.now() - START_US < plan.durationUs()) {
                 ask(p, r);
@@ -169,6 +186,14 @@
                         tally.failed++;
                         rules.answered(kernel.now(), t.pooler.number, id, Answer.FAILED);
                     }
+
+                    @Override public void cancelled() {
+                        throw new IllegalStateException("no client of this model cancels");
+                    }
+
+                    @Override public boolean waits() {
+                        return true;
+                    }
                 });
     }
 
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -51,6 +51,8 @@
     /** Null where operators may not call. */
     private final CallListener calls;
     private Watch watch;
+    /** The watch on the discovery that a new configuration names, until it has answered; null for none. */
+    private Watch next;
     /** The list known from the start; null once it is taken. */
     private HostList known;
     private ZoneAdviser advice;
@@ -68,11 +70,15 @@
 
     /** Serves by the platform's word and the operators'. */
     public Pooler(Config config, OperatorSettings operators) throws IOException {
-        this(config, operators, KNOWN_PATIENCE_US);
+        this(config, operators, KNOWN_PATIENCE_US, Door.LINGER_US);
     }
 
-    /** {@code knownPatienceUs}: how long at most the list known from the start waits for discovery's word. */
-    Pooler(Config config, OperatorSettings operators, long knownPatienceUs) throws IOException {
+    /**
+     * {@code knownPatienceUs}: how long at most the list known from the start waits for discovery's word;
+     * {@code lingerUs}: how long clients are waited for whose connections were ended.
+     */
+    Pooler(Config config, OperatorSettings operators, long knownPatienceUs, long lingerUs)
+            throws IOException {
         this.knownPatienceUs = knownPatienceUs;
         loop = new Loop();
         pool = new ServerPool(loop, config.settings(), config.maxServerConnections());
@@ -81,9 +87,9 @@
         inForce = config;
         attempts = config.settings().limits().maxAttempts();
         classes = new ClassTable(config.settings().classes());
-        door = new Door(config.inherits(), longest(config.settings()));
+        door = new Door(config.inherits(), longest(config.settings()), lingerUs);
         listener = new Listener(loop, broker, door, classes, config.maxClients(),
-                config.usualClients());
+                config.usualClients(), config.settings().seed());
         listener.page("stats", () -> loop.counters().toString());
         operator = new Operator(loop, door, pool, broker, listener::sweep, config.orders(),
                 Long.toHexString(config.settings().seed()) + "x" + Long.toHexString(loop.clock().now()));
@@ -101,7 +107,7 @@
         }
         known = config.known();
         watch = watch(config, known.hosts().isEmpty() ? -1 : known.seq());
-        loop.onAwakening(() -> watch.readNow());
+        loop.onAwakening(this::readNews);
         loop.thread().execute(() -> start(config));
     }
 
@@ -116,7 +122,15 @@
         return new Brain(settings, actions, advice);
     }
 
+    private void readNews() {
+        watch.readNow();
+        if (next != null) {
+            next.readNow();
+        }
+    }
+
     private void start(Config config) {
+        loop.beat();
         operator.start();
         watch.start();
         try {
@@ -151,17 +165,26 @@
     /**
      * Goes over to the settings of a new configuration, in one step, and to the discovery that it names;
      * names, addresses, descriptors and the bound on open requests wait for the next start. A new watch
-     * begins with the whole list, as numbers of one agent's lists say nothing of another's.
+     * begins with the whole list, as numbers of one agent's lists say nothing of another's; until it has
+     * that, the old one goes on: what it tells is newer than nothing.
      */
     public void reload(Config config) {
         loop.thread().execute(() -> {
             loop.counters().reloads++;
             settings(config.settings());
             if (!config.sameLists(inForce)) {
-                watch.stop();
-                watch = watch(config, -1);
-                watch.start();
-                LOG.info("discovery is now at " + config.discovery());
+                if (next != null) {
+                    next.stop();
+                }
+                Watch named = watch(config, -1);
+                named.onAnswer(() -> {
+                    watch.stop();
+                    watch = named;
+                    next = null;
+                    LOG.info("discovery is now at " + config.discovery());
+                });
+                next = named;
+                named.start();
             }
             inForce = config;
             LOG.info("the new configuration holds");
--- a/pooler/src/main/java/frostreel/broker/BackEnd.java
+++ b/pooler/src/main/java/frostreel/broker/BackEnd.java
@@ -38,11 +38,22 @@
         default Passage begins(Flow from) {
             return null;
         }
+
+        /**
+         * Asked right before the first byte is written of an attempt that had to wait for its connection;
+         * false where it must not begin any more. It is then over, as moot.
+         */
+        default boolean mayBegin() {
+            return true;
+        }
     }
 
     /** Begins an attempt; the returned handle names it to {@link #abandon}. */
     long start(String memberId, Payload payload, long patienceUs, Sink sink);
 
+    /** Whether a byte of the attempt may have been written; an attempt that has ended has begun. */
+    boolean begun(long attempt);
+
     /** Stops waiting; nothing is reported any more. True where the request may have reached the server. */
     boolean abandon(long attempt);
 
--- a/pooler/src/main/java/frostreel/broker/Broker.java
+++ b/pooler/src/main/java/frostreel/broker/Broker.java
@@ -30,20 +30,33 @@
         boolean answered;
         /** Its answer has begun, and goes on as it comes. */
         boolean passing;
+        final Router.RequestClass rules;
         final int mostAttempts;
         int attempts;
         long inFlight = SlotTable.NONE;
         String memberId;
         long sentUs;
+        /** When the first attempt was sent that may have run; {@code Long.MAX_VALUE} while none was. */
+        long maybeRanUs = Long.MAX_VALUE;
         Deadlines.Deadline timeout;
         Deadlines.Deadline overdue;
 
-        Entry(Ask ask, Payload payload, Caller caller, int mostAttempts) {
+        Entry(Ask ask, Payload payload, Caller caller, Router.RequestClass rules, int mostAttempts) {
+            this.rules = rules;
             this.mostAttempts = mostAttempts;
             this.ask = ask;
             this.payload = payload;
             this.caller = caller;
         }
+
+        /** From when on no attempt of it may begin: its deadline, or the end of what may be repeated. */
+        long beginByUs() {
+            if (maybeRanUs == Long.MAX_VALUE || rules.repeat() == Router.Repeat.SAFE) {
+                return ask.deadlineUs();
+            }
+            return rules.repeat() == Router.Repeat.UNSAFE ? maybeRanUs
+                    : Math.min(ask.deadlineUs(), maybeRanUs + rules.windowUs());
+        }
     }
 
     /** After its deadline by so much, a request that the module left unanswered is answered here. */
@@ -54,7 +67,7 @@
     private final Counters counters;
     private final BackEnd backEnd;
     private final Router router;
-    private int maxAttempts;
+    private Router.Settings settings;
     private final SlotTable<Entry> requests;
     private final Set<Integer> groups = new HashSet<>();
     private final Set<String> ids = new HashSet<>();
@@ -68,7 +81,7 @@
         this.deadlines = deadlines;
         this.counters = counters;
         this.backEnd = backEnd;
-        this.maxAttempts = settings.limits().maxAttempts();
+        this.settings = settings;
         this.requests = new SlotTable<>(maxOpen);
         this.router = maker.apply(settings, this);
     }
@@ -103,7 +116,7 @@
 
     /** New settings hold for requests from now on; those in hand keep what they came with. */
     public void settings(Router.Settings settings) {
-        maxAttempts = settings.limits().maxAttempts();
+        this.settings = settings;
         event(() -> router.onSettings(settings));
     }
 
@@ -115,7 +128,8 @@
     /** Takes a request; its caller may be answered before this returns. */
     public long submit(Ask ask, Payload payload, Caller caller) {
         counters.requests++;
-        Entry r = new Entry(ask, payload, caller, maxAttempts);
+        Entry r = new Entry(ask, payload, caller, settings.classes().get(ask.cls()),
+                settings.limits().maxAttempts());
         r.handle = requests.add(r);
         if (r.handle == SlotTable.NONE || !groups.contains(ask.group())) {
             requests.remove(r.handle);
@@ -141,15 +155,44 @@
                 backEnd.abandon(r.inFlight);
                 r.inFlight = SlotTable.NONE;
                 release(r);
-            } else if (r != null && !r.answered) {
-                counters.clientsGone++;
-                close(r);
-                router.onClientGone(clock.now(), r.id);
-                release(r);
+            } else if (r != null) {
+                left(r);
+            }
+        });
+    }
+
+    private void left(Entry r) {
+        if (!r.answered) {
+            counters.clientsGone++;
+            leave(r);
+        }
+    }
+
+    /**
+     * The caller withdraws its request, and gets its one answer; nothing is done where it has that, or the
+     * beginning of it, already.
+     */
+    public void cancelled(long handle) {
+        event(() -> {
+            Entry r = requests.get(handle);
+            if (r != null && !r.answered) {
+                counters.clientsCancelled++;
+                leave(r);
+                r.caller.cancelled();
             }
         });
     }
 
+    /** Nobody wants it any more: an attempt that has not begun never does, whatever the module may cancel. */
+    private void leave(Entry r) {
+        close(r);
+        router.onClientGone(clock.now(), r.id);
+        if (r.inFlight != SlotTable.NONE && !backEnd.begun(r.inFlight)) {
+            stop(r, r.attempts - 1, Outcome.CANCELLED);
+        }
+        release(r);
+    }
+
     public void members(Router.ListKind kind, List<Router.Member> members) {
         members.forEach(m -> groups.add(m.group()));
         event(() -> router.onMembers(clock.now(), kind, members));
@@ -187,11 +230,26 @@
         }
     }
 
+    /** Looked at right before an attempt's first byte, as what its client did may stand unread until then. */
+    private boolean mayBegin(Entry r) {
+        if (r.answered || clock.now() >= r.beginByUs()) {
+            return false;
+        }
+        boolean waits = r.caller.waits();
+        if (!waits) {
+            event(() -> left(r));
+        }
+        return waits && !r.answered;
+    }
+
     private void ended(Entry r, int attempt, BackEnd.Result result) {
         long now = clock.now();
         deadlines.cancel(r.timeout);
         r.inFlight = SlotTable.NONE;
         counters.outcome(result.outcome());
+        if (!result.outcome().provesNotRun) {
+            r.maybeRanUs = Math.min(r.maybeRanUs, r.sentUs);
+        }
         if (r.passing) {
             if (result.outcome() == Outcome.OK) {
                 r.caller.served(result.answer());
@@ -243,8 +301,9 @@
         int attempt = r.attempts++;
         long now = clock.now();
         long left = Math.min(timeoutUs, r.ask.deadlineUs() - now);
-        // Never two attempts in flight, none past the limit or the deadline, whatever is asked for.
-        if (r.inFlight != SlotTable.NONE || attempt >= r.mostAttempts || left <= 0) {
+        // Never two attempts in flight, none past the limit, the deadline or the repeats' end, none for a
+        // client that has gone, whatever is asked for.
+        if (r.inFlight != SlotTable.NONE || attempt >= r.mostAttempts || left <= 0 || !mayBegin(r)) {
             event(() -> router.onOutcome(clock.now(), r.id, attempt, memberId, Outcome.MOOT, r.answered, 0,
                     Router.Role.UNKNOWN, 0, null));
             return;
@@ -260,8 +319,20 @@
             @Override public BackEnd.Passage begins(BackEnd.Flow from) {
                 return Broker.this.begins(r, attempt, from);
             }
+
+            @Override public boolean mayBegin() {
+                return Broker.this.mayBegin(r);
+            }
         });
-        r.timeout = deadlines.after(left, () -> event(() -> stop(r, attempt, Outcome.TIMEOUT)));
+        long beginsIn = Math.min(left, r.beginByUs() - now);
+        r.timeout = deadlines.after(beginsIn, () -> event(() -> {
+            if (beginsIn < left && backEnd.begun(r.inFlight)) {
+                r.timeout = deadlines.after(left - beginsIn, () -> event(() -> stop(r, attempt,
+                        Outcome.TIMEOUT)));
+            } else {
+                stop(r, attempt, Outcome.TIMEOUT);
+            }
+        }));
     }
 
     /** An attempt that never reached its server is moot: that proves that it never ran. */
--- a/pooler/src/main/java/frostreel/broker/Caller.java
+++ b/pooler/src/main/java/frostreel/broker/Caller.java
@@ -10,6 +10,12 @@
 
     void failed();
 
+    /** Its own side has withdrawn the request. */
+    void cancelled();
+
+    /** Whether the other side is still there, as far as can be seen by looking now. */
+    boolean waits();
+
     /** A long answer begins: in pieces, then {@link #served} has the rest, or it is {@link #broken}. */
     default BackEnd.Passage begins(BackEnd.Flow from) {
         throw new IllegalStateException("no long answers are taken here");
--- a/pooler/src/main/java/frostreel/discovery/HttpResponse.java
+++ b/pooler/src/main/java/frostreel/discovery/HttpResponse.java
@@ -5,7 +5,10 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Locale;
 
-/** Takes one HTTP/1.1 response in, however its bytes are split; every length is bounded. */
+/**
+ * Takes one HTTP/1.1 response in, however its bytes are split; every length is bounded. A body without a
+ * length ends with its connection, where that ends in order: after a reset it is not known to be whole.
+ */
 final class HttpResponse {
     private static final int MOST_BODY = 1 << 22;
     private static final int MOST_LINE = 8192;
@@ -23,12 +26,15 @@
     /** Takes bytes up to the response's end. */
     void accept(ByteBuffer in) throws HttpException {
         while (in.hasRemaining() && !complete) {
-            if (headersRead && left > 0) {
-                int n = Math.min(left, in.remaining());
+            if (headersRead && (left > 0 || endsWithConnection())) {
+                int n = left > 0 ? Math.min(left, in.remaining()) : in.remaining();
+                if (body.size() + n > MOST_BODY) {
+                    throw new HttpException("a body of over " + MOST_BODY + " bytes");
+                }
                 byte[] part = new byte[n];
                 in.get(part);
                 body.writeBytes(part);
-                left -= n;
+                left -= left > 0 ? n : 0;
                 complete = left == 0 && !chunked;
                 continue;
             }
@@ -60,9 +66,7 @@
             statusRead = true;
         } else if (text.isEmpty()) {
             headersRead = true;
-            if (!chunked && left < 0) {
-                throw new HttpException("a response without its length");
-            }
+            keepAlive &= chunked || left >= 0;
             complete = !chunked && left == 0;
         } else {
             int colon = text.indexOf(':');
@@ -102,6 +106,11 @@
         return complete;
     }
 
+    /** Whether it is whole once its connection has ended in order. */
+    boolean endsWithConnection() {
+        return headersRead && !chunked && left < 0;
+    }
+
     boolean keepAlive() {
         return keepAlive;
     }
--- a/pooler/src/main/java/frostreel/discovery/Watch.java
+++ b/pooler/src/main/java/frostreel/discovery/Watch.java
@@ -26,15 +26,22 @@
  * servers: when all poolers start at once and each asks for one, the calls wait in line until they fail, are
  * made again, and nobody hears of a change. While discovery is silent the list in hand stays, and the watch
  * is begun again after a bounded wait.
+ *
+ * <p>One bound on every silence: what changed counts as told to us 6 s after discovery could have told it. A
+ * call that waits, its patience, the pause before the next connection, one more call that stays unanswered
+ * and one that is answered at once fit into that, whatever went before.
  */
 public final class Watch implements Stream.Handler {
-    private static final long WAIT_MS = 20_000;
-    /** The first call does not wait: its answer tells that the list in hand is what discovery has now. */
+    static final long WAIT_MS = 2_500;
+    /**
+     * The first call, and the first after a failure, do not wait: the answer tells that the list in hand is
+     * what discovery has now, and a silence shows at once.
+     */
     private static final long FIRST_WAIT_MS = 1;
     /** How long a call may take beyond its own wait; the agent answers at once. */
-    private static final long PATIENCE_US = 1_500_000;
-    private static final long RETRY_LEAST_US = 50_000;
-    private static final long RETRY_MOST_US = 1_000_000;
+    static final long PATIENCE_US = 1_500_000;
+    static final long RETRY_LEAST_US = 50_000;
+    static final long RETRY_MOST_US = 1_000_000;
     private static final Logger LOG = Logger.getLogger(Watch.class.getName());
     private final Loop loop;
     private final InetSocketAddress address;
@@ -52,6 +59,7 @@
     private boolean stopped;
     private Deadlines.Deadline retry;
     private Runnable asked = () -> { };
+    private Runnable answering = () -> { };
     private long calls;
 
     /** {@code seq}: the version of the list in hand, or negative for none: the whole list is asked for. */
@@ -73,6 +81,11 @@
         }
     }
 
+    /** What runs before the first list is handed on. */
+    public void onAnswer(Runnable then) {
+        answering = then;
+    }
+
     public void start() {
         patience = loop.deadlines().after(PATIENCE_US, () -> again("no connection in time"));
         IoFuture<StreamConnection> mine = loop.thread().openStreamConnection(address, null,
@@ -129,9 +142,17 @@
     @Override public void received(ByteBuffer in) {
         try {
             response.accept(in);
-            if (!response.complete()) {
-                return;
-            }
+        } catch (HttpResponse.HttpException e) {
+            again(e.getMessage());
+            return;
+        }
+        if (response.complete()) {
+            answered();
+        }
+    }
+
+    private void answered() {
+        try {
             if (response.status() != 200) {
                 throw new HttpResponse.HttpException("status " + response.status());
             }
@@ -151,6 +172,9 @@
                 drop();
                 start();
             }
+            Runnable first = answering;
+            answering = () -> { };
+            first.run();
             listener.accept(list);
         } catch (HttpResponse.HttpException | Malformed | JSONException e) {
             again(e.getMessage());
@@ -158,7 +182,11 @@
     }
 
     @Override public void ended() {
-        again("the connection ended");
+        if (!stream.wasReset() && response.endsWithConnection()) {
+            answered();
+        } else {
+            again("the connection ended");
+        }
     }
 
     private void drop() {
@@ -178,6 +206,7 @@
             silent = true;
             LOG.warning("discovery: " + why + "; the last list is kept");
         }
+        answered = false;
         drop();
         retry = loop.deadlines().after(retryUs, this::start);
         retryUs = Math.min(2 * retryUs, RETRY_MOST_US);
--- a/pooler/src/main/java/frostreel/net/ClientConnection.java
+++ b/pooler/src/main/java/frostreel/net/ClientConnection.java
@@ -24,20 +24,23 @@
 
     /** The longest query: a value of 64 KiB as hexadecimal text, twice as long, with room for the rest. */
     private static final int MOST_BYTES = (1 << 17) + (1 << 12);
-    /** So much may wait unread behind a request; beyond it the client is not read from. */
-    private static final int BACKLOG_BYTES = 1 << 16;
+    /**
+     * So much may wait behind a request, and so much where all that is held for clients is more than its part
+     * of the memory. What comes beyond is dropped, and the client's connection ends with its last answer: to
+     * leave it unread instead would hide that the client has gone.
+     */
+    private static final int BACKLOG_BYTES = 1 << 20;
+    private static final int LEAST_BACKLOG_BYTES = 1 << 16;
     /** So much of a long answer may wait for its reader; beyond it the server is not read from. */
     private static final int MOST_WAITING = 1 << 17;
     /** So long after connecting, or after the first byte of a message, a whole one must have come. */
     private static final long OWING_US = 2_300_000;
     /** So many queries in a row may be no good before the connection ends: answering them is work, too. */
     private static final int MOST_FAULTS = 16;
-    /**
-     * After its last error, a client is read from for so long and so much: to close with bytes unread resets
-     * the connection, and the error may be lost.
-     */
-    private static final long LINGER_US = 300_000;
-    private static final int LINGER_BYTES = 1 << 20;
+    /** So much is read only to be dropped; it costs time that others need. */
+    private static final int DROPPED_BYTES = 1 << 20;
+    /** A reader of an answer that takes nothing of it for so long holds its place for nothing. */
+    private static final long STILL_US = 30_000_000;
     /** When to come back after a refusal for want of a place. */
     private static final long CROWDED_ADVICE_US = 200_000;
     /** Between the client's sending, from which its patience counts, and our reading, and back again. */
@@ -46,6 +49,8 @@
     private final Listener listener;
     private final Stream stream;
     private final MessageReader reader = new MessageReader(ClientConnection::longest);
+    /** Of the key by which this client may cancel; the other half is its slot's number. */
+    private final int secret;
     long slot;
     private Phase phase = Phase.STARTUP;
     private boolean busy;
@@ -53,16 +58,24 @@
     private boolean skipsToSync;
     private boolean asked;
     private int faults;
-    private int lingered;
+    /** More came than may wait; what comes on is dropped. */
+    private boolean overrun;
+    private int dropped;
+    /** How many bytes that wait to be taken are counted with all that is held. */
+    private int held;
+    /** When all that had come was last taken, and since when what is being taken may have been here. */
+    private long tookUs;
+    private long cameUs;
     private long sinceUs;
     private Deadlines.Deadline patience;
     private long request = SlotTable.NONE;
     /** The source of the long answer that is being passed on, null for none. */
     private BackEnd.Flow flow;
 
-    ClientConnection(Loop loop, Listener listener, StreamConnection connection) {
+    ClientConnection(Loop loop, Listener listener, StreamConnection connection, int secret) {
         this.loop = loop;
         this.listener = listener;
+        this.secret = secret;
         stream = new Stream(loop, connection, this);
     }
 
@@ -100,20 +113,33 @@
     }
 
     @Override public void received(ByteBuffer in) {
-        if (phase == Phase.LINGERING) {
-            lingered += in.remaining();
-            if (lingered > LINGER_BYTES) {
+        if (phase == Phase.LINGERING || overrun) {
+            dropped += in.remaining();
+            if (dropped > DROPPED_BYTES && phase == Phase.LINGERING) {
                 close();
+            } else if (dropped > DROPPED_BYTES) {
+                stream.suspendReads();
             }
             return;
         }
+        cameUs = Math.max(loop.cameSinceUs(), tookUs);
         reader.feed(in);
         take();
-        if (busy && reader.buffered() > BACKLOG_BYTES) {
-            stream.suspendReads();
+        cameUs = 0;
+        tookUs = loop.clock().now();
+        if (phase.compareTo(Phase.LINGERING) < 0 && (busy || !stream.flushed()) && reader.buffered()
+                > (loop.holdsMuch() ? LEAST_BACKLOG_BYTES : BACKLOG_BYTES)) {
+            overrun = true;
+            loop.counters().malformed++;
         }
     }
 
+    /** Counts what waits to be taken with all that is held. */
+    private void hold(int bytes) {
+        loop.held(bytes - held);
+        held = bytes;
+    }
+
     @Override public void drained() {
         if (flow != null) {
             flow.resume();
@@ -131,6 +157,9 @@
             // A slow reader's next request waits until it has taken its last answer.
             while (phase.compareTo(Phase.LINGERING) < 0 && !busy && stream.flushed()) {
                 if (phase == Phase.STARTUP ? !reader.nextStartup() : !reader.next()) {
+                    if (overrun) {
+                        fatal(Messages.PROTOCOL_VIOLATION, "too much at once behind a request in hand");
+                    }
                     break;
                 }
                 if (phase == Phase.STARTUP) {
@@ -144,6 +173,7 @@
             fatal(Messages.PROTOCOL_VIOLATION, e.getMessage());
         } finally {
             taking = false;
+            hold(phase.compareTo(Phase.LINGERING) < 0 ? reader.buffered() : 0);
         }
         if (phase.compareTo(Phase.LINGERING) < 0 && !busy) {
             stream.resumeReads();
@@ -152,6 +182,10 @@
     }
 
     private void rest() {
+        if (!stream.flushed()) {
+            awaitReader();
+            return;
+        }
         if (!restsBetweenRequests() || !asked && !listener.closing()) {
             await();
             return;
@@ -161,18 +195,46 @@
         listener.rested(this);
     }
 
+    /** Its answer waits for it, and not the other way round. */
+    private void awaitReader() {
+        heard();
+        listener.busy(this);
+        int waiting = stream.waiting();
+        patience = loop.deadlines().after(STILL_US, () -> {
+            patience = null;
+            if (stream.waiting() < waiting) {
+                awaitReader();
+            } else {
+                close();
+            }
+        });
+    }
+
     private void startup() throws PgException {
-        int version = reader.firstInt();
+        int version = reader.intOfBody(0);
         if (version == Messages.SSL_REQUEST || version == Messages.GSS_REQUEST) {
             stream.write(new byte[] {'N'});
         } else if (version == Messages.CANCEL_REQUEST) {
+            listener.cancel(reader.intOfBody(1), reader.intOfBody(2));
             close();
         } else if (version >> 16 != Messages.PROTOCOL_3 >> 16) {
             loop.counters().malformed++;
             fatal(Messages.NOT_SUPPORTED, "only version 3 of the protocol is spoken here");
         } else {
             phase = Phase.RUNNING;
-            stream.write(Messages.welcome());
+            stream.write(Messages.welcome(process(), secret));
+        }
+    }
+
+    /** The first half of its key: the slot's number and part of its generation. */
+    private int process() {
+        return (int) slot & Integer.MAX_VALUE;
+    }
+
+    /** Withdraws the request in hand, if the key is its own. */
+    void cancel(int process, int itsSecret) {
+        if (process == process() && itsSecret == secret && phase == Phase.RUNNING) {
+            listener.broker().cancelled(request);
         }
     }
 
@@ -235,12 +297,13 @@
             return;
         }
         long now = loop.clock().now();
+        long came = cameUs > 0 ? cameUs : now; // What waited for another answer has its time from now on.
         long sinceWriteUs = s.afterMs() == 0 ? 0 : Math.max(1, now - s.afterMs() * 1000);
         busy = true;
         heard();
         listener.busy(this);
         long handle = listener.broker().submit(new Broker.Ask(s.id(), cls, s.session(),
-                s.cluster(), Math.min(now + s.patienceMs() * 1000 - TRANSIT_US, listener.answerBy()),
+                s.cluster(), Math.min(came + s.patienceMs() * 1000 - TRANSIT_US, listener.answerBy()),
                 sinceWriteUs, s.repeated()), s, this);
         if (busy) {
             request = handle;
@@ -300,6 +363,15 @@
                 adviceUs <= 0 ? null : Long.toString((adviceUs + 999) / 1000));
     }
 
+    @Override public void cancelled() {
+        settle(Messages.error(false, Messages.CANCELLED, "cancelled by its client", null));
+    }
+
+    @Override public boolean waits() {
+        stream.readNow();
+        return phase != Phase.CLOSED;
+    }
+
     @Override public void failed() {
         settle(Messages.error(false, Messages.UNKNOWN_EFFECT, "failed: whether it took effect is not known",
                 null));
@@ -307,11 +379,21 @@
 
     private void fatal(String code, String text) {
         stream.write(Messages.error(true, code, text, null));
-        if (phase != Phase.CLOSED) {
+        leave();
+    }
+
+    /**
+     * The one way in which we end a client's connection: our sending ends behind all that was written, and
+     * what comes after that is read and dropped, never sent on, until the client has ended its own. A close
+     * over unread bytes would reset the connection, and the last answer might be lost with it.
+     */
+    private void leave() {
+        if (phase.compareTo(Phase.LINGERING) < 0) {
             phase = Phase.LINGERING;
+            dropped = 0;
             heard();
-            patience = loop.deadlines().after(LINGER_US, this::close);
-            listener.owes(this);
+            patience = loop.deadlines().after(listener.lingerUs(), this::close);
+            listener.leaves(this);
             stream.end();
             stream.resumeReads();
         }
@@ -327,18 +409,18 @@
     }
 
     /**
-     * Closes it unless a request has come meanwhile: while the thread is busy many wait unread, and one on a
-     * connection that we close costs its client the way here, or, the second time, the answer.
+     * Ends it unless a request has come meanwhile: while the thread is busy many wait unread, and one on a
+     * connection that we end costs its client the way here, or, the second time, the answer.
      */
-    boolean closeUnlessAsking() {
+    boolean leaveUnlessAsking() {
         boolean heard = stream.readNow();
-        if (phase == Phase.CLOSED || heard && busy) {
+        if (phase.compareTo(Phase.LINGERING) >= 0 || heard && busy) {
             return false;
         }
         if (heard && restsBetweenRequests()) {
             return false; // It asked, and has its answer: no longer the longest idle.
         }
-        close();
+        leave();
         return true;
     }
 
@@ -348,6 +430,7 @@
         }
         phase = Phase.CLOSED;
         heard();
+        hold(0);
         loop.counters().clientsClosed++;
         stream.close();
         listener.closed(this);
--- a/pooler/src/main/java/frostreel/net/Listener.java
+++ b/pooler/src/main/java/frostreel/net/Listener.java
@@ -13,6 +13,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.SplittableRandom;
 import java.util.function.Supplier;
 import java.util.logging.Logger;
 import org.xnio.IoUtils;
@@ -31,6 +32,8 @@
     private static final int ACCEPTS_AT_ONCE = 32;
     /** So many descriptors are kept free by closing clients that ask for nothing. */
     private static final int ROOM = 16;
+    /** With so few left, those that were told to leave are not waited for. */
+    private static final int LAST_ROOM = 4;
     /** A client that asked before may be closed once it has been idle for so long. */
     private static final long IDLE_US = 2_000_000;
     /** While there is no room, those that ask for nothing are looked at so often. */
@@ -53,13 +56,18 @@
     /** Clients between requests, and clients that have yet to send a whole one; the longest so first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
     private final Set<ClientConnection> owing = new LinkedHashSet<>();
+    /** Clients whose connection we have ended, and that have yet to end it too; the longest so first. */
+    private final Set<ClientConnection> leaving = new LinkedHashSet<>();
+    /** For the keys by which clients cancel. */
+    private final SplittableRandom secrets;
     private boolean lookingForRoom;
     private boolean sparing;
 
     /** Of the {@code usualClients} that come to ask, three quarters may stay without a bound on idle ones. */
     public Listener(Loop loop, Broker broker, Door door, ClassTable classes, int maxClients,
-            int usualClients) {
+            int usualClients, long seed) {
         this.loop = loop;
+        secrets = new SplittableRandom(seed).split();
         this.broker = broker;
         this.door = door;
         this.classes = classes;
@@ -99,7 +107,7 @@
                     return;
                 }
                 loop.counters().clientsAccepted++;
-                ClientConnection client = new ClientConnection(loop, this, c);
+                ClientConnection client = new ClientConnection(loop, this, c, secrets.nextInt());
                 client.slot = clients.add(client);
                 if (client.slot == SlotTable.NONE) {
                     client.close();
@@ -113,6 +121,11 @@
         }
     }
 
+    /** Withdraws the request that the client of that key has in hand; another key does nothing. */
+    void cancel(int process, int secret) {
+        clients.forEach(c -> c.cancel(process, secret));
+    }
+
     /** Shows a page to whoever asks for it by SHOW and its name. */
     public void page(String name, Supplier<String> text) {
         pages.put("SHOW " + name + "\0", text);
@@ -129,6 +142,11 @@
         return door.closesAll(loop.clock().now());
     }
 
+    /** For how long a client is waited for whose connection we ended. */
+    long lingerUs() {
+        return door.lingerUs();
+    }
+
     /** What the empty query is answered. */
     Door.Word word() {
         return door.word();
@@ -147,8 +165,9 @@
     void rested(ClientConnection c) {
         if (c.restsBetweenRequests()) {
             owing.remove(c);
+            idle.remove(c); // It has asked again, and is no longer the longest idle.
             if (door.closesAnswered(loop.clock().now())) {
-                c.closeUnlessAsking();
+                c.leaveUnlessAsking();
             } else {
                 idle.add(c);
                 spareIdle();
@@ -167,8 +186,8 @@
         }
         sparing = true;
         for (int looks = idle.size(); looks > 0 && idle.size() > idleBound
-                && clients.size() - owing.size() > usualBound; looks--) {
-            if (idle.iterator().next().closeUnlessAsking()) {
+                && clients.size() - owing.size() - leaving.size() > usualBound; looks--) {
+            if (idle.iterator().next().leaveUnlessAsking()) {
                 loop.counters().clientsSpared++;
             }
         }
@@ -187,8 +206,15 @@
         owing.remove(c);
     }
 
+    /** We have ended its connection, and it has yet to do so; its place counts as free. */
+    void leaves(ClientConnection c) {
+        busy(c);
+        leaving.add(c);
+    }
+
     void closed(ClientConnection c) {
         busy(c);
+        leaving.remove(c);
         clients.remove(c.slot);
     }
 
@@ -199,10 +225,13 @@
      */
     private void makeRoom() {
         for (ClientConnection c = evictable(); crowded() && c != null; c = evictable()) {
-            if (c.closeUnlessAsking()) {
+            if (c.leaveUnlessAsking()) {
                 loop.counters().clientsEvicted++;
             }
         }
+        while (clients.size() > maxClients - LAST_ROOM && !leaving.isEmpty()) {
+            leaving.iterator().next().close(); // Whoever comes needs the descriptor itself.
+        }
         if (crowded() && !lookingForRoom) {
             lookingForRoom = true;
             loop.deadlines().after(ROOM_CHECK_US, () -> {
@@ -221,7 +250,7 @@
     }
 
     private boolean crowded() {
-        return clients.size() > maxClients - ROOM;
+        return clients.size() - leaving.size() > maxClients - ROOM;
     }
 
     /**
@@ -229,7 +258,7 @@
      * be answered in time; so what comes on the last places is refused at once.
      */
     boolean full() {
-        return clients.size() - idle.size() - owing.size() >= maxClients - ROOM;
+        return clients.size() - idle.size() - owing.size() - leaving.size() >= maxClients - ROOM;
     }
 
     /** By when a request that comes now has to be answered: the process may not live longer. */
@@ -245,7 +274,7 @@
         } else if (inherited) {
             channel.suspendAccepts(); // What waits there is the other process's.
         } else {
-            IoUtils.safeClose(channel);
+            IoUtils.safeClose(channel); // What waits there is still accepted.
         }
         if (now < door.sweepUs()) {
             return;
--- a/pooler/src/main/java/frostreel/net/Loop.java
+++ b/pooler/src/main/java/frostreel/net/Loop.java
@@ -20,6 +20,9 @@
     private static final long MOST_HELD = Runtime.getRuntime().maxMemory() / 4;
     /** A part of the second that the rule on drains allows; more often, a look for news costs too much. */
     private static final long SILENCE_US = 200_000;
+    /** The loop shows so often that it runs, and is late where it was not seen to for so long. */
+    private static final long BEAT_US = 100_000;
+    private static final long LATE_US = 2 * BEAT_US;
     private final XnioWorker worker;
     private final XnioIoThread thread;
     private final Clock clock = Clock.system();
@@ -31,6 +34,9 @@
     private Runnable awoken = () -> { };
     private long lastUs = clock.now();
     private long heldBytes;
+    private long beatUs = lastUs;
+    /** While the loop catches up: since when what it reads may have waited; else {@code Long.MAX_VALUE}. */
+    private long lateSinceUs = Long.MAX_VALUE;
 
     public Loop() throws IOException {
         worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
@@ -70,6 +76,25 @@
         }
     }
 
+    /** Begins to watch over the loop's own lateness; on its thread, before anything comes from outside. */
+    public void beat() {
+        lateSinceUs = clock.now() - beatUs > LATE_US ? beatUs : Long.MAX_VALUE;
+        beatUs = clock.now();
+        deadlines.after(BEAT_US, this::beat);
+    }
+
+    /**
+     * The earliest time at which what is read now may have come. Its sender's time began then: what waited
+     * while this process was paused, had no core, or was in a long turn, must not be given that time twice.
+     */
+    long cameSinceUs() {
+        long now = clock.now();
+        if (now - beatUs > LATE_US) {
+            lateSinceUs = beatUs;
+        }
+        return Math.min(now, lateSinceUs);
+    }
+
     /** Ends the thread and waits, a little at the most, until it has ended. */
     public void end() throws InterruptedException {
         thread.execute(() -> {
--- a/pooler/src/main/java/frostreel/net/ServerPool.java
+++ b/pooler/src/main/java/frostreel/net/ServerPool.java
@@ -188,6 +188,11 @@
         }
     }
 
+    @Override public boolean begun(long attempt) {
+        Attempt a = attempts.get(attempt);
+        return a == null || a.on != null;
+    }
+
     @Override public boolean abandon(long attempt) {
         Attempt a = attempts.remove(attempt);
         if (a == null) {
@@ -212,22 +217,29 @@
 
     // ---- From the connections. ----
 
-    /** A connection is clean and free: it takes the attempt that has waited longest, or rests. */
+    /**
+     * A connection is clean and free: it takes the attempt that has waited longest and may still begin, or
+     * rests. One to where its server was before it moved takes nothing more.
+     */
     void free(ServerConnection c) {
         Server s = c.server;
         Attempt next = s.waiting.peekFirst();
-        if (next != null) {
-            if (c.run(next)) {
-                s.waiting.pollFirst();
-            } else {
-                failUnserved(s, Outcome.CONNECT_FAILED);
-            }
-        } else if (s.usable && c.address.equals(s.address)) {
+        while (next != null && !next.sink.mayBegin()) { // Which may end other attempts that wait.
+            s.waiting.remove(next);
+            finish(next, Result.of(Outcome.MOOT));
+            next = s.waiting.peekFirst();
+        }
+        if (!s.usable || !c.address.equals(s.address)) {
+            c.close();
+            failUnserved(s, Outcome.CONNECT_FAILED);
+        } else if (next == null) {
             s.idle.addFirst(c);
             resting.add(c);
             c.rest(idleUs);
+        } else if (c.run(next)) {
+            s.waiting.remove(next);
         } else {
-            c.close();
+            failUnserved(s, Outcome.CONNECT_FAILED);
         }
     }
 
--- a/pooler/src/main/java/frostreel/net/Stream.java
+++ b/pooler/src/main/java/frostreel/net/Stream.java
@@ -43,6 +43,7 @@
     private int waiting;
     private long reads;
     private boolean ending;
+    private boolean reset;
     private boolean closed;
 
     public Stream(Loop loop, StreamConnection connection, Handler handler) {
@@ -51,7 +52,7 @@
         this.handler = handler;
         source = connection.getSourceChannel();
         sink = connection.getSinkChannel();
-        source.setReadListener(c -> guarded(this::readable));
+        source.setReadListener(c -> guarded(() -> readable(false)));
         sink.setWriteListener(c -> guarded(this::writable));
     }
 
@@ -82,13 +83,15 @@
         }
     }
 
-    private void readable() {
-        for (int i = 0; i < READS_AT_ONCE && !closed && source.isReadResumed(); i++) {
+    /** {@code anyway}: also where reading is suspended, as far as one go takes it. */
+    private void readable(boolean anyway) {
+        for (int i = 0; i < READS_AT_ONCE && !closed && (anyway || source.isReadResumed()); i++) {
             ByteBuffer in = loop.readBuffer();
             int n;
             try {
                 n = source.read(in);
             } catch (IOException e) {
+                reset = true;
                 n = -1;
             }
             if (n < 0) {
@@ -105,7 +108,7 @@
     /** Hands on what has come and is still unread; whether there was any, or the other side had ended. */
     public boolean readNow() {
         long before = reads;
-        guarded(this::readable);
+        guarded(() -> readable(true));
         return closed || reads != before;
     }
 
@@ -168,6 +171,7 @@
             }
             return true;
         } catch (IOException e) {
+            reset = true;
             // Not within the writer's call, which may be in the middle of a change of its own.
             loop.thread().execute(() -> guarded(this::broken));
             return false;
@@ -183,6 +187,11 @@
         }
     }
 
+    /** Whether the connection broke, so that what came may lack its end; told after {@link Handler#ended}. */
+    public boolean wasReset() {
+        return reset;
+    }
+
     /** Whether all that was written is, or at its end was, with the socket. */
     public boolean flushed() {
         return output.isEmpty();
--- a/pooler/src/main/java/frostreel/pg/MessageReader.java
+++ b/pooler/src/main/java/frostreel/pg/MessageReader.java
@@ -121,12 +121,12 @@
         return bodyTo - bodyFrom;
     }
 
-    /** The first four bytes of the body. */
-    public int firstInt() throws PgException {
-        if (length() < Integer.BYTES) {
+    /** The n-th four bytes of the body, from 0 on. */
+    public int intOfBody(int n) throws PgException {
+        if (length() < (n + 1) * Integer.BYTES) {
             throw new PgException("a body of " + length() + " bytes");
         }
-        return intAt(bodyFrom);
+        return intAt(bodyFrom + n * Integer.BYTES);
     }
 
     private int intAt(int at) {
--- a/pooler/src/main/java/frostreel/pg/Messages.java
+++ b/pooler/src/main/java/frostreel/pg/Messages.java
@@ -17,6 +17,7 @@
     public static final String INVALID_STATEMENT = "22023";
     public static final String UNKNOWN_EFFECT = "08007";
     public static final String IDLE = "57P05";
+    public static final String CANCELLED = "57014";
 
     private Messages() {}
 
@@ -40,8 +41,11 @@
         out.write(0);
     }
 
-    /** What welcomes a client: AuthenticationOk, the usual parameters, ReadyForQuery. */
-    public static byte[] welcome() {
+    /**
+     * What welcomes a client: AuthenticationOk, the usual parameters, the key by which it may cancel, and
+     * ReadyForQuery.
+     */
+    public static byte[] welcome(int process, int secret) {
         ByteArrayOutputStream out = new ByteArrayOutputStream();
         out.writeBytes(message('R', new byte[4]));
         String[] parameters = {"server_version", "15.0", "server_encoding", "UTF8", "client_encoding", "UTF8",
@@ -52,6 +56,10 @@
             writeText(body, parameters[i + 1]);
             out.writeBytes(message('S', body.toByteArray()));
         }
+        ByteArrayOutputStream key = new ByteArrayOutputStream();
+        writeInt(key, process);
+        writeInt(key, secret);
+        out.writeBytes(message('K', key.toByteArray()));
         out.writeBytes(readyForQuery());
         return out.toByteArray();
     }
--- a/pooler/src/main/java/frostreel/pg/Reply.java
+++ b/pooler/src/main/java/frostreel/pg/Reply.java
@@ -87,7 +87,7 @@
             }
             case 'Z' -> advance((part == Part.WELCOMED || part == Part.COMPLETE || part == Part.ERROR)
                     && in.length() == 1 && in.body()[0] == 'I', Part.READY);
-            case 'R' -> advance(part == Part.CALLED && in.firstInt() == 0, Part.WELCOMED);
+            case 'R' -> advance(part == Part.CALLED && in.intOfBody(0) == 0, Part.WELCOMED);
             case 'K' -> advance(part == Part.WELCOMED, Part.WELCOMED);
             case 'S' -> parameter(in.body());
             default -> { } // Notices and notifications.
--- a/pooler/src/main/java/frostreel/stats/Counters.java
+++ b/pooler/src/main/java/frostreel/stats/Counters.java
@@ -9,6 +9,7 @@
     public long clientsAccepted;
     public long clientsClosed;
     public long clientsGone;
+    public long clientsCancelled;
     public long clientsSilent;
     public long clientsEvicted;
     public long clientsSpared;
@@ -47,8 +48,8 @@
     /** One line, names and values. */
     @Override public String toString() {
         return "clients_accepted=" + clientsAccepted + " clients_closed=" + clientsClosed + " clients_gone="
-                + clientsGone + " clients_silent=" + clientsSilent + " clients_evicted=" + clientsEvicted
-                + " clients_spared=" + clientsSpared
+                + clientsGone + " clients_cancelled=" + clientsCancelled + " clients_silent=" + clientsSilent
+                + " clients_evicted=" + clientsEvicted + " clients_spared=" + clientsSpared
                 + " malformed=" + malformed + " stray_bytes=" + strayBytes
                 + " unread_reports=" + unreadReports + " crowded_out=" + crowdedOut
                 + " requests=" + requests + " served=" + served
--- /dev/null
+++ b/pooler/src/test/java/frostreel/ClosesTest.java
@@ -0,0 +1,197 @@
+package frostreel;
+
+import static frostreel.Stage.host;
+import static frostreel.Stage.look;
+import static frostreel.Stage.query;
+import static frostreel.Stage.rows;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import frostreel.discovery.Watch;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CountDownLatch;
+import org.junit.jupiter.api.Test;
+
+/** However a client's connection ends, what was taken is answered, and what crosses the end is not lost. */
+class ClosesTest extends Story {
+    /** Tests of the wait for a client that was told to leave make it endless. */
+    private void lingerWithoutEnd() {
+        stage.lingerUs = Long.MAX_VALUE / 2;
+    }
+
+    private long requests() {
+        return Long.parseLong(stage.pooler.counters().replaceAll(".* requests=(\\d+) .*", "$1"));
+    }
+
+    /** Its end is seen, and then more is sent: a connection that was closed whole would be reset by that. */
+    private void whatCrossesTheEndResetsNothingAndIsNotSentOn(Stage.Link c) throws Exception {
+        assertThat(c.endsNext()).isTrue();
+        long before = requests();
+        for (int i = 0; i < 3; i++) {
+            c.send(query(look("crossed" + i, 9000)));
+        }
+        assertThat(c.endsNext()).isTrue();
+        c.close();
+        assertThat(requests()).isEqualTo(before);
+    }
+
+    @Test void bytesThatCrossTheSparingOfAnIdleClientDoNotResetIt() throws Exception {
+        lingerWithoutEnd();
+        start();
+        List<Stage.Link> clients = new ArrayList<>();
+        for (int i = 0; i < Stage.USUAL_CLIENTS; i++) {
+            clients.add(stage.client());
+            assertThat(value(clients.get(i).ask(look("c" + i, 9000)))).isEqualTo("from-replica");
+        }
+        whatCrossesTheEndResetsNothingAndIsNotSentOn(clients.get(0));
+        for (Stage.Link c : clients) {
+            c.close();
+        }
+    }
+
+    @Test void bytesThatCrossTheSweepAtTheEndDoNotResetTheirConnection() throws Exception {
+        lingerWithoutEnd();
+        stage.settings = Stage.SETTINGS.replace("\"deadlineS\":10", "\"deadlineS\":0.3").replace(
+                "\"onTimeS\":5", "\"onTimeS\":0.2"); // SIGKILL is due after 1 s, the sweep after 0.6 s.
+        start();
+        try (Stage.Link asked = stage.client(); Stage.Link silent = stage.client()) {
+            assertThat(value(asked.ask(look("1", 300)))).isEqualTo("from-replica");
+            Thread stop = stops();
+            whatCrossesTheEndResetsNothingAndIsNotSentOn(asked);
+            whatCrossesTheEndResetsNothingAndIsNotSentOn(silent);
+            stop.join();
+        }
+    }
+
+    /**
+     * A connection that the machine accepted counts as taken, whether or not the program has yet. It comes
+     * while one timer runs, and the one that closes the door is due in the same turn, before any look at
+     * sockets: both were due while the thread stood still before.
+     */
+    @Test void whoWaitsAtTheDoorInTheTurnInWhichItClosesIsAnswered() throws Exception {
+        stage.startSilent(host("a", primary, "primary", "Ready"));
+        stage.discovery.next(); // A call that it gives up after 1.5 s, which it logs.
+        stage.untilReady();
+        List<Stage.Link> waits = new ArrayList<>();
+        List<Thread> stop = new ArrayList<>();
+        stage.whileItStandsStill(Watch.class, () -> {
+            stop.add(stops()); // The door closes 3.3 s later.
+            stage.whileItStandsStill(() -> Stage.pass(System.nanoTime(), 3_500));
+        }, () -> {
+            for (int i = 0; i < 3; i++) { // The first was let in even by the door that had closed.
+                waits.add(new Stage.Link(stage.connect()));
+                waits.get(i).send(Stage.startup(), query(look("" + i, 300)));
+            }
+        });
+        for (Stage.Link c : waits) {
+            c.takeAnswer();
+            assertThat(c.takeAnswer()).singleElement().asString().contains("|C53300|");
+            c.close();
+        }
+        stop.get(0).join();
+    }
+
+    /** From its return on, the I/O thread ends before anything else that is handed to it. */
+    private Thread stops() {
+        Thread stop = new Thread(() -> {
+            try {
+                stage.pooler.stop();
+            } catch (InterruptedException e) {
+                Thread.currentThread().interrupt();
+            }
+        });
+        stop.start();
+        while (stop.getState() != Thread.State.TIMED_WAITING && stop.isAlive()) {
+            Thread.onSpinWait();
+        }
+        return stop;
+    }
+
+    /** Two silent clients, one after the other, show that a whole message was long owed. */
+    @Test void aReaderThatTakesItsTimeIsNotTakenForAClientThatOwesSomething() throws Exception {
+        String large = "x".repeat(60_000);
+        replica.script = rows(large, "replica");
+        start();
+        int n = 300;
+        try (Stage.Link c = stage.client()) {
+            for (int i = 0; i < n; i++) {
+                c.send(query(look("q" + i, 9000)));
+            }
+            for (int i = 0; i < 2; i++) {
+                try (Stage.Link silent = new Stage.Link(stage.connect())) {
+                    assertThat(silent.take()).startsWith("E").contains("|C57P05|");
+                    assertThat(silent.endsNext()).isTrue();
+                }
+            }
+            for (int i = 0; i < n; i++) {
+                assertThat(value(c.takeAnswer())).isEqualTo(large);
+            }
+        }
+    }
+
+    /** What is held behind a request is bounded: it was not, behind an answer that waited for its reader. */
+    @Test void muchTooMuchBehindARequestEndsItsClientAfterTheLastAnswerThatIsOwed() throws Exception {
+        CountDownLatch answer = new CountDownLatch(1);
+        replica.script = (text, link) -> {
+            try {
+                answer.await();
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+            link.send(Stage.row("late", "replica"), Stage.READY);
+        };
+        start();
+        try (Stage.Link c = stage.client()) {
+            c.send(query(look("1", 9000)));
+            byte[] much = query("x".repeat(100_000)); // No statement of either form: an error each.
+            for (int i = 0; i < 14; i++) {
+                c.send(much);
+            }
+            stage.shows("malformed=1");
+            answer.countDown();
+            assertThat(value(c.takeAnswer())).isEqualTo("late");
+            String last = c.take();
+            while (last.contains("|C22023|")) {
+                assertThat(c.take()).startsWith("Z");
+                last = c.take();
+            }
+            assertThat(last).startsWith("E").contains("|C08P01|").contains("too much at once");
+            assertThat(c.endsNext()).isTrue();
+        }
+    }
+
+    /** An answer is whole or it is none, wherever its connection ends and however. */
+    @Test void anAnswerCutAtAnyByteIsNeverServed() throws Exception {
+        byte[] whole = Stage.row("cut", "replica");
+        int every = 2; // With either kind of end, at each byte in turn.
+        int calm = 5; // Each of them gives a fifth of a further attempt after doubt.
+        List<String> hosts = new ArrayList<>(List.of(host("a", primary, "primary", "Ready"),
+                host("b", replica, "replica", "Ready")));
+        for (int i = 0; i < whole.length; i++) {
+            int cut = i;
+            boolean reset = i % every == 0;
+            Stage.Peer cutter = stage.server((text, link) -> {
+                link.send(java.util.Arrays.copyOf(whole, cut));
+                if (reset) {
+                    link.socket.setSoLinger(true, 0);
+                }
+                link.close();
+            });
+            String block = "\"block\":" + (100 + i);
+            hosts.add(host("a" + i, primary, "primary", "Ready").replace("\"block\":2", block));
+            hosts.add(host("b" + i, cutter, "replica", "Ready").replace("\"block\":2", block));
+        }
+        stage.start(hosts.toArray(String[]::new));
+        try (Stage.Link c = stage.client()) {
+            for (int i = 0; i < whole.length; i++) {
+                assertThat(value(c.ask(look("q" + i, 9000).replace("cluster=2", "cluster=" + (100 + i)))))
+                        .as("cut at byte %d", i).isEqualTo("from-primary");
+                for (int j = 0; j < calm; j++) {
+                    assertThat(value(c.ask(look("q" + i + "x" + j, 9000)))).isEqualTo("from-replica");
+                }
+            }
+        }
+        assertThat(stage.pooler.counters()).contains(" stray_exceptions=0 ");
+    }
+}
--- /dev/null
+++ b/pooler/src/test/java/frostreel/DiscoveryTest.java
@@ -0,0 +1,161 @@
+package frostreel;
+
+import static frostreel.Stage.host;
+import static frostreel.Stage.http;
+import static frostreel.Stage.list;
+import static frostreel.Stage.look;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.Test;
+
+/** What an agent may do at each point of a call, and that what it tells afterwards counts at once. */
+class DiscoveryTest extends Story {
+    private static final Stage.Script SILENCE = (text, link) -> { };
+    private static final Stage.Script END = (text, link) -> link.close();
+    private static final Stage.Script RESET = (text, link) -> {
+        link.socket.setSoLinger(true, 0);
+        link.close();
+    };
+    /** What the agent does with the calls that come, one after another. */
+    private final BlockingQueue<Stage.Script> deeds = new LinkedBlockingQueue<>();
+
+    private static Stage.Script oneAfterAnother(BlockingQueue<Stage.Script> deeds) {
+        return (text, link) -> {
+            try {
+                deeds.take().answer(text, link);
+            } catch (InterruptedException e) {
+                throw new IOException(e);
+            }
+        };
+    }
+
+    private void play() throws Exception {
+        stage.discovery.script = oneAfterAnother(deeds);
+        deeds.add(answers(list(1, false)));
+        stage.startSilent(host("a", primary, "primary", "Ready"), host("b", replica, "replica", "Ready"));
+        assertThat(stage.discovery.next()).contains("index=0&wait=1 ");
+        assertThat(stage.discovery.next()).contains("index=1&").doesNotContain("wait=1 ");
+    }
+
+    private static Stage.Script answers(String list) {
+        return (text, link) -> link.send(http(list));
+    }
+
+    private String told(int seq, String health) {
+        return list(seq, false, host("b", replica, "replica", health));
+    }
+
+    /** A silence may cost no more than 6 s; a call that waits again after one would add to it. */
+    @Test void afterEachKindOfFailureTheNextCallDoesNotWaitAndItsAnswerIsObeyed() throws Exception {
+        List<List<Stage.Script>> failures = List.of(
+                List.of(SILENCE, RESET,
+                        (text, link) -> link.send("HTTP/1.1 503 No\r\nContent-Length: 0\r\n\r\n".getBytes()),
+                        (text, link) -> link.send(http("{\"seq\":")),
+                        (text, link) -> {
+                            link.send(http("Content-Length: 400\r\n", told(2, "Ready")));
+                            link.close();
+                        },
+                        (text, link) -> link.send("HTTP/1.1 200 OK\r\nContent-Le".getBytes())),
+                List.of(END, SILENCE));
+        play();
+        int seq = 1;
+        for (List<Stage.Script> row : failures) {
+            for (Stage.Script failure : row) {
+                deeds.add(failure);
+                assertThat(stage.discovery.next()).contains("index=" + seq + "&wait=1 ");
+            }
+            deeds.add(answers(told(++seq, seq % 2 == 0 ? "Terminating" : "Ready")));
+            assertThat(stage.discovery.next()).contains("index=" + seq + "&").doesNotContain("wait=1 ");
+            try (Stage.Link c = stage.client()) {
+                assertThat(value(c.ask(look("q" + seq, 9000))))
+                        .isEqualTo(seq % 2 == 0 ? "from-primary" : "from-replica");
+            }
+        }
+    }
+
+    @Test void aListWithoutALengthIsWholeAtItsEndAndNotAfterAReset() throws Exception {
+        play();
+        deeds.add((text, link) -> {
+            link.send(http("", told(2, "Terminating")));
+            link.close();
+        });
+        assertThat(stage.discovery.next()).contains("index=2&");
+        deeds.add((text, link) -> {
+            link.send(http("", told(3, "Ready")));
+            RESET.answer(text, link);
+        });
+        assertThat(stage.discovery.next()).contains("index=2&wait=1 ");
+        try (Stage.Link c = stage.client()) {
+            assertThat(value(c.ask(look("1", 9000)))).isEqualTo("from-primary");
+        }
+        assertThat(stage.pooler.counters()).contains(" discovery_failures=1 ");
+    }
+
+    /** A connect that is given up while it is pending must not come back as a second watch. */
+    @Test void aWatchThatIsStoppedWhileItsConnectionIsPendingMakesNoFurtherOne() throws Exception {
+        play();
+        Stage.Peer away = stage.agent(SILENCE);
+        away.close(); // Refused: it fails, and is begun again after a while.
+        stage.hangUp(away);
+        while (stage.pooler.counters().contains(" discovery_failures=0 ")) {
+            Thread.onSpinWait();
+        }
+        BlockingQueue<Stage.Script> theirs = new LinkedBlockingQueue<>();
+        Stage.Peer there = stage.agent(oneAfterAnother(theirs));
+        stage.hangUp(there);
+        theirs.add(answers(list(5, true, host("a", primary, "primary", "Ready"))));
+        assertThat(there.next()).startsWith("GET /discovery/hosts HTTP");
+        assertThat(there.next()).contains("index=5&");
+        theOldOneHasEnded();
+        int failures = failures();
+        theirs.add(answers(list(6, false)));
+        assertThat(there.next()).contains("index=6&"); // The watch that is in force goes on, alone.
+        assertThat(failures()).isEqualTo(failures);
+        assertThat(there.links.get()).isEqualTo(1);
+    }
+
+    /** To a watch that goes on, an answer would bring its next call; an ended one is seen by it. */
+    private void theOldOneHasEnded() throws Exception {
+        deeds.add(answers(list(99, false)));
+        assertThat(stage.discovery.ended.take()).isEqualTo("ended");
+    }
+
+    private int failures() {
+        return Integer.parseInt(stage.pooler.counters().replaceAll(".* discovery_failures=(\\d+) .*", "$1"));
+    }
+
+    /** The list in hand must not age while the agent that a new file names says nothing. */
+    @Test void untilTheNewDiscoveryHasAnsweredTheOldOneIsObeyed() throws Exception {
+        play();
+        try (Stage.Link c = stage.client()) {
+            Stage.Peer silent = stage.agent(SILENCE);
+            stage.hangUp(silent);
+            assertThat(silent.next()).startsWith("GET /discovery/hosts HTTP");
+            deeds.add(answers(told(2, "Terminating")));
+            assertThat(stage.discovery.next()).contains("index=2&");
+            assertThat(value(c.ask(look("1", 9000)))).isEqualTo("from-primary");
+
+            Stage.Peer refusing = stage.agent(SILENCE);
+            refusing.close();
+            stage.hangUp(refusing);
+            assertThat(silent.ended.take()).isEqualTo("ended");
+            deeds.add(answers(told(3, "Ready")));
+            assertThat(stage.discovery.next()).contains("index=3&");
+            assertThat(value(c.ask(look("2", 9000)))).isEqualTo("from-replica");
+
+            BlockingQueue<Stage.Script> theirs = new LinkedBlockingQueue<>();
+            Stage.Peer answering = stage.agent(oneAfterAnother(theirs));
+            stage.hangUp(answering);
+            theirs.add(answers(list(1, true, host("a", primary, "primary", "Ready"),
+                    host("b", replica, "replica", "Terminating"))));
+            assertThat(answering.next()).startsWith("GET /discovery/hosts HTTP");
+            assertThat(answering.next()).contains("index=1&");
+            theOldOneHasEnded();
+            assertThat(value(c.ask(look("3", 9000)))).isEqualTo("from-primary");
+        }
+    }
+}
--- /dev/null
+++ b/pooler/src/test/java/frostreel/GoneClientsTest.java
@@ -0,0 +1,219 @@
+package frostreel;
+
+import static frostreel.Stage.errors;
+import static frostreel.Stage.look;
+import static frostreel.Stage.post;
+import static frostreel.Stage.query;
+import static frostreel.Stage.row;
+import static frostreel.Stage.rows;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** A client that closed its connection or cancelled its request has gone: nothing begins for it any more. */
+class GoneClientsTest extends Story {
+    private static final int CANCEL_REQUEST = 80877102;
+    private final BlockingQueue<Stage.Link> handshakes = new LinkedBlockingQueue<>();
+
+    /** From now on a connection to the replica comes up when the test lets it. */
+    private void holdHandshakes() {
+        replica.welcome = (text, link) -> handshakes.add(link);
+    }
+
+    private static void welcome(Stage.Link link) throws Exception {
+        link.send(Stage.bytes('R', new byte[4]), Stage.READY);
+    }
+
+    private void mayNotCancel() {
+        stage.settings = Stage.SETTINGS.replace("\"cancel\":true", "\"cancel\":false");
+    }
+
+    /** The next request is the first that the replica hears, on the connection that was opened before. */
+    private void nothingIsSentBeforeTheNextRequest(Stage.Link pending) throws Exception {
+        welcome(pending);
+        try (Stage.Link c = stage.client()) {
+            assertThat(value(c.ask(look("next", 9000)))).isEqualTo("from-replica");
+        }
+        assertThat(replica.next()).contains("id=next,");
+        assertThat(primary.heard).isEmpty();
+        assertThat(replica.links.get()).isEqualTo(1);
+    }
+
+    @Test void whatWaitsForAConnectionIsNotSentOnceItsClientHasGoneThoughNothingMayBeCancelled()
+            throws Exception {
+        mayNotCancel();
+        holdHandshakes();
+        start();
+        Stage.Link c = stage.client();
+        c.send(query(look("gone", 9000)));
+        Stage.Link pending = handshakes.take();
+        c.close();
+        stage.shows("clients_gone=1");
+        nothingIsSentBeforeTheNextRequest(pending);
+    }
+
+    /** More than a connection's buffers hold behind the request that waits; its end comes after all that. */
+    @Test void theEndOfAClientThatSentMuchBehindItsRequestIsSeen() throws Exception {
+        mayNotCancel();
+        holdHandshakes();
+        start();
+        Stage.Link c = stage.client();
+        c.send(query(look("gone", 9000)));
+        Stage.Link pending = handshakes.take();
+        c.send(new byte[1_500_000]);
+        c.close();
+        stage.shows("clients_gone=1");
+        nothingIsSentBeforeTheNextRequest(pending);
+    }
+
+    /**
+     * Answers and ends are found in one turn. Each answer makes room for requests that wait; their clients'
+     * ends stand unread behind it, for all orders but one of some thousand.
+     */
+    @Test void whatIsLetOutInTheTurnInWhichItsClientsEndIsFoundIsNotSent() throws Exception {
+        BlockingQueue<Stage.Link> held = new LinkedBlockingQueue<>();
+        replica.script = (text, link) -> held.add(link);
+        primary.script = replica.script;
+        start();
+        Map<String, Stage.Link> clients = new HashMap<>();
+        int all = 24;
+        for (int i = 0; i < all; i++) {
+            Stage.Link c = stage.client();
+            clients.put("q" + i, c);
+            c.send(query(look("q" + i, 9000)));
+        }
+        stage.shows("requests=" + all);
+        int sent = Integer.parseInt(stage.pooler.counters().replaceAll(".* attempts=(\\d+) .*", "$1"));
+        assertThat(sent).isBetween(1, all / 2); // The others wait for room.
+        List<String> inHand = new ArrayList<>();
+        List<Stage.Link> servers = new ArrayList<>();
+        for (int i = 0; i < sent; i++) {
+            servers.add(held.take());
+        }
+        for (Stage.Peer p : List.of(primary, replica)) {
+            for (String text : p.heard) {
+                inHand.add(text.replaceAll(".*id=(\\w+),.*", "$1").replace("|", ""));
+            }
+        }
+        stage.whileItStandsStill(() -> {
+            for (Map.Entry<String, Stage.Link> c : clients.entrySet()) {
+                if (!inHand.contains(c.getKey())) {
+                    c.getValue().close();
+                }
+            }
+            for (Stage.Link s : servers) {
+                s.send(row("late", "replica"), Stage.READY);
+            }
+        });
+        stage.shows("clients_gone=" + (all - sent));
+        assertThat(stage.pooler.counters()).contains(" attempts=" + sent + " ");
+        for (Stage.Link c : clients.values()) {
+            c.close();
+        }
+    }
+
+    // ---- Cancelling. ----
+
+    /** A client with the key that it was given. */
+    private final class Keyed implements AutoCloseable {
+        final Stage.Link link;
+        int process;
+        int secret;
+
+        Keyed() throws Exception {
+            link = new Stage.Link(stage.connect());
+            link.send(Stage.startup());
+            DataInputStream in = link.in;
+            for (int type = in.read(); type != 'Z'; type = in.read()) {
+                byte[] body = in.readNBytes(in.readInt() - Integer.BYTES);
+                if (type == 'K') {
+                    process = ByteBuffer.wrap(body).getInt();
+                    secret = ByteBuffer.wrap(body).getInt(Integer.BYTES);
+                }
+            }
+            in.readNBytes(in.readInt() - Integer.BYTES);
+            assertThat(process + secret).isNotZero();
+        }
+
+        /** Its end tells that the pooler has done with it. */
+        void cancel(int withSecret) throws Exception {
+            try (Stage.Link other = new Stage.Link(stage.connect())) {
+                other.send(ByteBuffer.allocate(16).putInt(16).putInt(CANCEL_REQUEST).putInt(process)
+                        .putInt(withSecret).array());
+                assertThat(other.endsNext()).isTrue();
+            }
+        }
+
+        void endsCancelled() throws Exception {
+            cancel(secret);
+            assertThat(link.takeAnswer()).singleElement().asString().contains("|C57014|");
+        }
+
+        @Override public void close() throws IOException {
+            link.close();
+        }
+    }
+
+    @Test void aCancelledRequestThatWaitsForAConnectionIsNeverSent() throws Exception {
+        mayNotCancel();
+        holdHandshakes();
+        start();
+        try (Keyed c = new Keyed()) {
+            c.link.send(query(look("gone", 9000)));
+            Stage.Link pending = handshakes.take();
+            c.endsCancelled();
+            nothingIsSentBeforeTheNextRequest(pending);
+            assertThat(value(c.link.ask(look("2", 9000)))).isEqualTo("from-replica");
+        }
+    }
+
+    @Test void aCancelledWriteThatIsHeldIsNotSentOnceThereIsAPrimary() throws Exception {
+        stage.settings = Stage.SETTINGS.replace("\"probes\":true", "\"probes\":false"); // Writes walk.
+        primary.script = errors("25006", "replica");
+        replica.script = errors("25006", "replica");
+        start();
+        try (Keyed c = new Keyed()) {
+            c.link.send(query(post("gone", 9000)));
+            while (!stage.pooler.counters().contains("MISS=2")) {
+                Thread.onSpinWait(); // A full round: it is held.
+            }
+            c.endsCancelled();
+            long before = heardOf("gone");
+            primary.script = rows("from-primary", "primary");
+            assertThat(value(c.link.ask(post("next", 9000)))).isEqualTo("from-primary");
+            assertThat(heardOf("gone")).isEqualTo(before);
+        }
+    }
+
+    private long heardOf(String id) {
+        return Stream.of(primary, replica).flatMap(p -> p.heard.stream())
+                .filter(text -> text.contains("id=" + id + ",")).count();
+    }
+
+    @Test void aCancelledRequestInFlightHasOneAnswerAndNoFurtherAttempt() throws Exception {
+        replica.script = (text, link) -> { };
+        start();
+        try (Keyed c = new Keyed()) {
+            c.link.send(query(look("gone", 9000)));
+            assertThat(replica.next()).contains("id=gone,");
+            c.cancel(c.secret + 1); // Another's key.
+            assertThat(stage.pooler.counters()).contains(" clients_cancelled=0 ");
+            c.endsCancelled();
+            assertThat(replica.ended.take()).isEqualTo("ended");
+            assertThat(value(c.link.ask(post("2", 9000)))).isEqualTo("from-primary");
+            c.cancel(c.secret); // Of what has ended.
+            assertThat(value(c.link.ask(post("3", 9000)))).isEqualTo("from-primary");
+            assertThat(stage.pooler.counters()).contains(" clients_cancelled=1 ").contains(" attempts=3 ");
+        }
+    }
+}
