--- a/pooler/src/test/java/frostreel/ServingTest.java
+++ b/pooler/src/test/java/frostreel/ServingTest.java
@@ -605,24 +605,24 @@
                 Stage.configuration(stage.discovery.address())));
         Path file = Path.of(environment.get("GW_CONFIG"));
         environment.put("GW_DISCOVERY", stage.discovery.address()); // As old as the start: the file must win.
-        Process program = program(environment);
+        Process program = Stage.program(environment);
         try (BufferedReader log = program.errorReader()) {
             stage.lists.add(list(7, true));
-            await(log, "ready");
+            Stage.await(log, "ready");
             Files.writeString(file, Stage.configuration(next.address()).replace("\"n0\"", "7"));
-            hangUp(program);
-            await(log, "field 'name' is not text; the configuration in force is kept");
+            Stage.hangUp(program);
+            Stage.await(log, "field 'name' is not text; the configuration in force is kept");
             Files.writeString(file, Stage.configuration(next.address()));
-            hangUp(program);
+            Stage.hangUp(program);
             assertThat(next.next()).startsWith("GET /discovery/hosts HTTP"); // The whole list.
             lists.add(list(3, true));
             assertThat(next.next()).contains("index=3&");
             stage.lists.add(list(8, true)); // To a watch that went on, it would bring its next call.
             stage.discovery.ended.take(); // The old watch has really ended.
-            hangUp(program);
+            Stage.hangUp(program);
             program.toHandle().destroy(); // Its streams stay open.
-            hangUp(program);
-            await(log, "stopping");
+            Stage.hangUp(program);
+            Stage.await(log, "stopping");
             assertThat(program.waitFor()).isEqualTo(143); // By SIGTERM, after its end in order.
         } finally {
             program.destroyForcibly();
@@ -637,7 +637,7 @@
         builder.environment().putAll(environment);
         Process program = builder.start();
         try (BufferedReader log = program.errorReader()) {
-            await(log, "SIGHUP was ignored at the start");
+            Stage.await(log, "SIGHUP was ignored at the start");
         } finally {
             program.destroyForcibly();
         }
@@ -647,60 +647,42 @@
         Path settings = Files.createTempFile("settings", ".xml");
         String good = "<frostreel xmlns=\"urn:frostreel:settings:1\"><log format=\"json\"/></frostreel>";
         Files.writeString(settings, good);
-        Process program = program(Stage.environment(Stage.configuration(stage.discovery.address())),
+        Process program = Stage.program(Stage.environment(Stage.configuration(stage.discovery.address())),
                 "--settings", settings.toString());
         try (BufferedReader log = program.errorReader()) {
             stage.lists.add(list(7, true));
-            await(log, "\"message\":\"ready\"");
+            Stage.await(log, "\"message\":\"ready\"");
             Files.writeString(settings, good.replace("json", "xml"));
-            hangUp(program);
-            await(log, "frostreel/log@format"); // Told in JSON still.
+            Stage.hangUp(program);
+            Stage.await(log, "frostreel/log@format"); // Told in JSON still.
             Files.writeString(settings, good.replace("json", "text"));
-            hangUp(program);
-            await(log, "INFO frostreel.cli.Serve: the settings of");
+            Stage.hangUp(program);
+            Stage.await(log, "INFO frostreel.cli.Serve: the settings of");
         } finally {
             program.destroyForcibly();
         }
         Files.delete(settings);
     }
 
-    /** The program as its own process, with these options of {@code serve}. */
-    private static Process program(Map<String, String> environment, String... options) throws Exception {
-        List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElseThrow(),
-                "-cp", System.getProperty("java.class.path"), "frostreel.cli.Main", "serve"));
-        command.addAll(List.of(options));
-        ProcessBuilder builder = new ProcessBuilder(command);
-        builder.environment().putAll(environment);
-        return builder.start();
-    }
-
-    private static void hangUp(Process program) throws Exception {
-        signal(program, "HUP");
-    }
-
-    private static void signal(Process program, String name) throws Exception {
-        new ProcessBuilder("kill", "-" + name, Long.toString(program.pid())).start().waitFor();
-    }
-
     private static Path stat(Process program) {
         return Path.of("/proc/" + program.pid() + "/stat");
     }
 
     /** What comes first on its sockets is the request, then the list: the order that would mislead it. */
     @Test void aPausedProcessThatWakesKnowsWhatDiscoveryToldBeforeItSends() throws Exception {
-        Process program = program(Stage.environment(Stage.configuration(stage.discovery.address(),
+        Process program = Stage.program(Stage.environment(Stage.configuration(stage.discovery.address(),
                 host("a", primary, "primary", "Ready"), host("b", replica, "replica", "Ready"))));
         try (BufferedReader log = program.errorReader()) {
             stage.lists.add(list(1, false));
-            String listening = await(log, "listening on /127.0.0.1:");
-            await(log, "ready");
+            String listening = Stage.await(log, "listening on /127.0.0.1:");
+            Stage.await(log, "ready");
             assertThat(stage.told.take()).isEqualTo("told");
             int port = Integer.parseInt(listening.replaceAll(".*127.0.0.1:(\\d+) .*", "$1"));
             try (Stage.Link c = new Stage.Link(new Socket("127.0.0.1", port))) {
                 c.send(Stage.startup());
                 c.takeAnswer();
                 assertThat(value(c.ask(look("1", 9000)))).isEqualTo("from-replica");
-                signal(program, "STOP");
+                Stage.signal(program, "STOP");
                 while (!Files.readString(stat(program)).contains(") T ")) {
                     Thread.onSpinWait();
                 }
@@ -709,7 +691,7 @@
                 stage.lists.add(list(2, false, host("b", replica, "replica", "Terminating")));
                 assertThat(stage.told.take()).isEqualTo("told");
                 Stage.pass(pausedAt, 300); // What a silence is.
-                signal(program, "CONT");
+                Stage.signal(program, "CONT");
                 assertThat(value(c.takeAnswer())).isEqualTo("from-primary");
                 assertThat(replica.heard).hasSize(1);
             }
@@ -721,25 +703,25 @@
     /** What waited while the process did has no more time than its client: the time began at the sending. */
     @Test void theTimeThatARequestWaitedForAPausedProcessIsNotGivenTwice() throws Exception {
         long pausedMs = 600;
-        Process program = program(Stage.environment(Stage.configuration(stage.discovery.address(),
+        Process program = Stage.program(Stage.environment(Stage.configuration(stage.discovery.address(),
                 host("a", primary, "primary", "Ready"), host("b", replica, "replica", "Ready"))));
         try (BufferedReader log = program.errorReader()) {
             stage.lists.add(list(1, false));
-            String listening = await(log, "listening on /127.0.0.1:");
-            await(log, "ready");
+            String listening = Stage.await(log, "listening on /127.0.0.1:");
+            Stage.await(log, "ready");
             int port = Integer.parseInt(listening.replaceAll(".*127.0.0.1:(\\d+) .*", "$1"));
             try (Stage.Link c = new Stage.Link(new Socket("127.0.0.1", port));
                     Stage.Link late = new Stage.Link(new Socket("127.0.0.1", port))) {
                 c.send(Stage.startup());
                 c.takeAnswer();
-                signal(program, "STOP");
+                Stage.signal(program, "STOP");
                 while (!Files.readString(stat(program)).contains(") T ")) {
                     Thread.onSpinWait();
                 }
                 c.send(query(post("1", 9000)));
                 late.send(Stage.startup(), query(post("2", 300)));
                 Stage.pass(System.nanoTime(), pausedMs);
-                signal(program, "CONT");
+                Stage.signal(program, "CONT");
                 assertThat(value(c.takeAnswer())).isEqualTo("from-primary");
                 assertThat(Integer.parseInt(primary.next().replaceAll(".*,d=(\\d+),.*", "$1")
                         .replace("|", ""))).isLessThanOrEqualTo((int) (9000 - pausedMs));
@@ -752,14 +734,6 @@
         }
     }
 
-    private static String await(BufferedReader log, String text) throws Exception {
-        String line = log.readLine();
-        while (!line.contains(text)) {
-            line = log.readLine();
-        }
-        return line;
-    }
-
     @Test void aStopAnswersWhatWasTakenAndThenClosesItsClients() throws Exception {
         List<String> faults = new CopyOnWriteArrayList<>();
         Handler handler = new StreamHandler() {
--- a/pooler/src/test/java/frostreel/Stage.java
+++ b/pooler/src/test/java/frostreel/Stage.java
@@ -4,6 +4,7 @@
 import frostreel.control.Operator;
 import frostreel.operation.Door;
 import frostreel.settings.OperatorSettings;
+import java.io.BufferedReader;
 import java.io.ByteArrayOutputStream;
 import java.io.DataInputStream;
 import java.io.DataOutputStream;
@@ -192,7 +193,7 @@
         }
     }
 
-    private interface Task {
+    interface Task {
         void run() throws Exception;
     }
 
@@ -229,7 +230,7 @@
         return p;
     }
 
-    private static Thread spawn(Task task) {
+    static Thread spawn(Task task) {
         Thread t = new Thread(() -> {
             try {
                 task.run();
@@ -448,6 +449,32 @@
         return (text, link) -> link.send(error(code), bytes('S', "role|" + role + "|"), READY);
     }
 
+    /** The program as its own process, with these options of {@code serve}. */
+    static Process program(Map<String, String> environment, String... options) throws Exception {
+        List<String> command = new ArrayList<>(List.of(ProcessHandle.current().info().command().orElseThrow(),
+                "-cp", System.getProperty("java.class.path"), "frostreel.cli.Main", "serve"));
+        command.addAll(List.of(options));
+        ProcessBuilder builder = new ProcessBuilder(command);
+        builder.environment().putAll(environment);
+        return builder.start();
+    }
+
+    static void hangUp(Process program) throws Exception {
+        signal(program, "HUP");
+    }
+
+    static void signal(Process program, String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(program.pid())).start().waitFor();
+    }
+
+    static String await(BufferedReader log, String text) throws Exception {
+        String line = log.readLine();
+        while (!line.contains(text)) {
+            line = log.readLine();
+        }
+        return line;
+    }
+
     void strike() throws Exception {
         for (Peer p : peers) {
             p.close();
