--- a/decisions/src/test/java/frostreel/operation/DoorTest.java
+++ b/decisions/src/test/java/frostreel/operation/DoorTest.java
@@ -101,4 +101,12 @@
         assertThat(door.accepts(3_200_000)).isTrue();
         assertThat(door.closesAll(3_300_000)).isTrue();
     }
+
+    /** The process ended in the very moment in which the last answer was due. */
+    @Test void theEndIsWaitedForUntilWhatCameAtTheEndOfTheStayIsAnswered() {
+        Door door = new Door(false, LONGEST_US);
+        door.end(0);
+        assertThat(door.answerByUs(Door.STAY_US - 1)).isEqualTo(Long.MAX_VALUE);
+        assertThat(door.longUs()).isGreaterThanOrEqualTo(Door.STAY_US + LONGEST_US + Door.LINGER_US);
+    }
 }
--- a/pooler/src/main/java/frostreel/net/ClientConnection.java
+++ b/pooler/src/main/java/frostreel/net/ClientConnection.java
@@ -61,7 +61,7 @@
     /** More came than may wait; what comes on is dropped. */
     private boolean overrun;
     private int dropped;
-    /** How many bytes that wait to be taken are counted with all that is held. */
+    /** How much memory for what waits to be taken is counted with all that is held. */
     private int held;
     /** When all that had come was last taken, and since when what is being taken may have been here. */
     private long tookUs;
@@ -134,7 +134,7 @@
         }
     }
 
-    /** Counts what waits to be taken with all that is held. */
+    /** Counts the memory of what waits to be taken with all that is held. */
     private void hold(int bytes) {
         loop.held(bytes - held);
         held = bytes;
@@ -173,7 +173,7 @@
             fatal(Messages.PROTOCOL_VIOLATION, e.getMessage());
         } finally {
             taking = false;
-            hold(phase.compareTo(Phase.LINGERING) < 0 ? reader.buffered() : 0);
+            hold(phase.compareTo(Phase.LINGERING) < 0 ? reader.memory() : 0);
         }
         if (phase.compareTo(Phase.LINGERING) < 0 && !busy) {
             stream.resumeReads();
--- a/pooler/src/main/java/frostreel/pg/MessageReader.java
+++ b/pooler/src/main/java/frostreel/pg/MessageReader.java
@@ -56,6 +56,11 @@
         return to - from;
     }
 
+    /** How many bytes of memory it takes up, which may be twice what is buffered. */
+    public int memory() {
+        return buffer.length;
+    }
+
     /** Moves to the next whole message; false where more bytes are needed. */
     public boolean next() throws PgException {
         if (buffered() < HEADER) {
