Take what a client sent once its socket is read empty, and look again only at what waits

The look at a client before an attempt cost every request one more read. `Stream` reads until nothing is left anyway, so the end of a client that asked and went is known before its request is taken, if that is done only then (`Handler.caughtUp`). A request just taken needs no further look; one that waited or is sent again has it. A CancelRequest whose end comes with it still counts. Tests: decisions, cluster, pooler pass (106 in pooler); the cancelling client of GoneClientsTest now ends at once.

--- a/pooler/src/main/java/frostreel/net/ClientConnection.java
+++ b/pooler/src/main/java/frostreel/net/ClientConnection.java
@@ -66,6 +66,8 @@
     /** When all that had come was last taken, and since when what is being taken may have been here. */
     private long tookUs;
     private long cameUs;
+    /** Its socket was read empty in this very call, so that there is no need to look again. */
+    private boolean justLooked;
     private long sinceUs;
     private Deadlines.Deadline patience;
     private long request = SlotTable.NONE;
@@ -122,9 +124,16 @@
             }
             return;
         }
-        cameUs = Math.max(loop.cameSinceUs(), tookUs);
+        cameUs = cameUs > 0 ? cameUs : Math.max(loop.cameSinceUs(), tookUs);
         reader.feed(in);
+    }
+
+    /** Only now, as a client that asked and went is not to be asked for any more. */
+    @Override public void caughtUp() {
+        boolean before = justLooked;
+        justLooked = true;
         take();
+        justLooked = before;
         cameUs = 0;
         tookUs = loop.clock().now();
         if (phase.compareTo(Phase.LINGERING) < 0 && (busy || !stream.flushed()) && reader.buffered()
@@ -368,7 +377,9 @@
     }
 
     @Override public boolean waits() {
-        stream.readNow();
+        if (!justLooked) {
+            stream.readNow();
+        }
         return phase != Phase.CLOSED;
     }
 
@@ -400,6 +411,14 @@
     }
 
     @Override public void ended() {
+        try {
+            if (phase == Phase.STARTUP && reader.nextStartup()
+                    && reader.intOfBody(0) == Messages.CANCEL_REQUEST) { // Nobody waits behind such a one.
+                listener.cancel(reader.intOfBody(1), reader.intOfBody(2));
+            }
+        } catch (PgException e) {
+            loop.counters().malformed++;
+        }
         close();
     }
 
--- a/pooler/src/main/java/frostreel/net/Stream.java
+++ b/pooler/src/main/java/frostreel/net/Stream.java
@@ -21,6 +21,12 @@
         /** Bytes came; all are to be taken. */
         void received(ByteBuffer in);
 
+        /**
+         * All that had come, or as much as is read in one go, was handed on, and the other side has not ended
+         * its sending behind it, as far as that went.
+         */
+        default void caughtUp() {}
+
         /** All output is with the socket. */
         default void drained() {}
 
@@ -85,7 +91,9 @@
 
     /** {@code anyway}: also where reading is suspended, as far as one go takes it. */
     private void readable(boolean anyway) {
-        for (int i = 0; i < READS_AT_ONCE && !closed && (anyway || source.isReadResumed()); i++) {
+        long before = reads;
+        boolean more = true;
+        for (int i = 0; i < READS_AT_ONCE && more && !closed && (anyway || source.isReadResumed()); i++) {
             ByteBuffer in = loop.readBuffer();
             int n;
             try {
@@ -97,11 +105,15 @@
             if (n < 0) {
                 broken();
                 return;
-            } else if (n == 0) {
-                return;
             }
-            reads++;
-            handler.received(in.flip());
+            more = n > 0;
+            if (more) {
+                reads++;
+                handler.received(in.flip());
+            }
+        }
+        if (!closed && reads != before) {
+            handler.caughtUp();
         }
     }
 
--- a/pooler/src/test/java/frostreel/GoneClientsTest.java
+++ b/pooler/src/test/java/frostreel/GoneClientsTest.java
@@ -150,6 +150,7 @@
             try (Stage.Link other = new Stage.Link(stage.connect())) {
                 other.send(ByteBuffer.allocate(16).putInt(16).putInt(CANCEL_REQUEST).putInt(process)
                         .putInt(withSecret).array());
+                other.socket.shutdownOutput(); // Its end may be read with its only message.
                 assertThat(other.endsNext()).isTrue();
             }
         }
