Cut a request's time only after a pause of 0.4 s: shorter ones are usual on part of a core

Cause: `Loop.cameSinceUs` took the loop for late after 0.2 s. A process with part of a core, beside its successor, is kept waiting for that long again and again; each time its clients' deadlines were cut by up to 0.3 s, for 0.1 s and more, and a read that waits for a fresh replica gives up after 0.45 of what it has. The rule needs no more than half a second: `LATE_US` is 0.4 s now, the beat 0.2 s. The pause of 0.6 s in ServingTest still costs its request 0.6 s.

--- a/pooler/src/main/java/frostreel/net/Loop.java
+++ b/pooler/src/main/java/frostreel/net/Loop.java
@@ -20,8 +20,12 @@
     private static final long MOST_HELD = Runtime.getRuntime().maxMemory() / 4;
     /** A part of the second that the rule on drains allows; more often, a look for news costs too much. */
     private static final long SILENCE_US = 200_000;
-    /** The loop shows so often that it runs, and is late where it was not seen to for so long. */
-    private static final long BEAT_US = 100_000;
+    /**
+     * The loop shows so often that it runs, and is late where it was not seen to for so long: a little less
+     * than the half second by which an answer may be late. A process that has part of a core is often kept
+     * waiting for less, and its clients' times must not be cut for each of these.
+     */
+    private static final long BEAT_US = 200_000;
     private static final long LATE_US = 2 * BEAT_US;
     private final XnioWorker worker;
     private final XnioIoThread thread;
@@ -84,8 +88,9 @@
     }
 
     /**
-     * The earliest time at which what is read now may have come. Its sender's time began then: what waited
-     * while this process was paused, had no core, or was in a long turn, must not be given that time twice.
+     * The earliest time at which what is read now may have come, where that is long ago. Its sender's time
+     * began then: what waited while this process was paused, had no core, or was in a long turn, must not be
+     * given that time twice.
      */
     long cameSinceUs() {
         long now = clock.now();
