--- a/pooler/src/main/java/frostreel/net/Listener.java
+++ b/pooler/src/main/java/frostreel/net/Listener.java
@@ -273,8 +273,9 @@
             channel.resumeAccepts();
         } else if (inherited) {
             channel.suspendAccepts(); // What waits there is the other process's.
-        } else {
-            IoUtils.safeClose(channel); // What waits there is still accepted.
+        } else if (channel.isOpen()) {
+            accept(channel); // What waits there was taken, and a close would reset it.
+            IoUtils.safeClose(channel);
         }
         if (now < door.sweepUs()) {
             return;
