Let a write in doubt bind its session's reads, and ask once more before a waiting attempt

Cause, by the trace in the issue on two deployments: a session's read was sent with need 0 while the session's write was out; that write's answer had been written and was lost (a reset 0.7 s later). At fault: Brain.learnOutcome remembered a commit only from an OK that arrived, with a position.

Now SessionCommits, a pure neighbour of Brain, holds what a session's reads must see: told commits, and of writes that are out, or ended with no word on their effect (RESET, ERROR, TIMEOUT, cancelled, a long answer's OK without a position), all that was committed up to 0.1 s ago, until the write's own time is over. A second hole, by reading: a position that was enough at the decision may not be once the connection has come up; Router.stands is asked right before the first byte of an attempt that had to wait.

--- a/decisions/src/main/java/willowfield/Brain.java
+++ b/decisions/src/main/java/willowfield/Brain.java
@@ -3,8 +3,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
-import java.util.Iterator;
-import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
@@ -145,6 +143,7 @@
     private Settings set;
     private final Actions act;
     private final Adviser advice;
+    private final Elsewhere elsewhere;
     private final long sweepUs;
     private long keepUs;
     private double[] expect = {};
@@ -154,8 +153,7 @@
     private final Map<Integer, Group> waiting = new TreeMap<>();
     private boolean sweeping, started;
     private final Map<String, Call> calls = new HashMap<>();
-    private final LinkedHashMap<Long, Long> sessions = new LinkedHashMap<>();
-    private long sessionFloor;
+    private final SessionCommits commits = new SessionCommits();
     private double retryTokens = RETRY_BURST;
     private double baseLag = WALK_US / 2.0;
     /** Where rotation begins: from the seed, so that routers do not all start at the same member. */
@@ -171,8 +169,13 @@
     }
 
     public Brain(Settings settings, Actions actions, Adviser adviser) {
+        this(settings, actions, adviser, (now, group) -> 0);
+    }
+
+    public Brain(Settings settings, Actions actions, Adviser adviser, Elsewhere elsewhere) {
         act = actions;
         advice = adviser;
+        this.elsewhere = elsewhere;
         sweepUs = Math.max(settings.tickUs(), WALK_US / 50);
         onSettings(settings);
         work = Arrays.stream(expect).min().orElse(work);
@@ -503,17 +506,17 @@
 
     // ---- Reads: the pick of a replica. ----
 
-    /** Keeps a session's commit; the oldest are dropped, and from then on bind every session without one. */
-    private void remember(long now, long session, long commitUs) {
-        Long before = sessions.remove(session);
-        sessions.put(session, before == null ? commitUs : Math.max(before, commitUs));
-        for (Iterator<Long> oldest = sessions.values().iterator(); oldest.hasNext(); oldest.remove()) {
-            long commit = oldest.next();
-            if (commit >= now - keepUs) {
-                break;
-            }
-            sessionFloor = Math.max(sessionFloor, commit);
-        }
+    /** Whether sessions' writes are remembered here, and this is one. */
+    private boolean marks(Call c) {
+        return c.k.access() == Access.WRITE && set.marks() == Marks.REMEMBERED;
+    }
+
+    /** A write ended: an answer told its commit, or it is in doubt, for all its time if it may run on. */
+    private void settle(long now, Call c, Outcome o, long positionUs) {
+        boolean told = o == Outcome.OK && positionUs > 0;
+        boolean runsOn = o == Outcome.TIMEOUT || o == Outcome.CANCELLED;
+        long doubt = told || o.provesNotRun ? 0 : runsOn ? Math.max(now, c.q.deadlineUs()) : now;
+        commits.ended(now, c.q.session(), told ? positionUs : 0, doubt, keepUs);
     }
 
     private long need(long now, Call c) {
@@ -523,8 +526,7 @@
                 if (set.marks() == Marks.CARRIED) {
                     yield c.q.sinceWriteUs() <= 0 ? 0 : c.arrivedUs - c.q.sinceWriteUs() + 2000;
                 }
-                Long commit = sessions.get(c.q.session());
-                yield Math.max(sessionFloor, commit == null ? 0 : commit) + (commit == null ? 0 : 1000);
+                yield Math.max(commits.need(now, c.q.session()), elsewhere.boundUs(now, c.q.group()));
             }
             case ANY -> 0;
             default -> Long.MAX_VALUE;
@@ -798,6 +800,9 @@
             n.reportAt = now;
         }
         noteRole(now, n, role, now, true);
+        if (marks(c)) {
+            settle(now, c, o, positionUs);
+        }
         if (o == Outcome.OK) {
             mark(now, n, tookUs / expect[c.q.cls()], false);
             expect[c.q.cls()] += 0.02 * (tookUs - expect[c.q.cls()]);
@@ -810,9 +815,6 @@
             } else {
                 widen(n);
             }
-            if (write && set.marks() == Marks.REMEMBERED && positionUs > 0) {
-                remember(now, c.q.session(), positionUs);
-            }
         } else if (o == Outcome.MISS) {
             if (write) {
                 noteRole(now, n, Role.REPLICA, now, true);
@@ -960,16 +962,28 @@
         return n.budget > 0;
     }
 
+    /** Whether it is new enough for a read, by its own word; one last heard as primary is excused. */
+    private boolean fresh(long now, Call c, Node n) {
+        return set.checks() != Checks.SILENT || c.k.access() == Access.WRITE || n.primaryAt > n.replicaAt
+                || n.position >= need(now, c);
+    }
+
+    @Override public boolean stands(long now, String requestId) {
+        Call c = calls.get(requestId);
+        return c == null || c.on == null || fresh(now, c, c.on);
+    }
+
     /** The send gate: draining, group, attempts, deadline, repeats, freshness, cold members are held here. */
     private boolean send(long now, Call c, Node n, long timeoutUs) {
         if (c.ended || c.on != null || !usable(n) || n.group != c.g || spent(now, c) || !admits(now, n)) {
             return false;
         }
-        boolean excused = n.primaryAt > n.replicaAt;
-        if (set.checks() == Checks.SILENT && c.k.access() != Access.WRITE && !excused
-                && n.position < need(now, c)) {
+        if (!fresh(now, c, n)) {
             return false;
         }
+        if (marks(c)) {
+            commits.sent(now, c.q.session());
+        }
         double effort = expect[c.q.cls()];
         work += MEAN * (effort - work);
         if (n.out == 0) {
--- a/decisions/src/main/java/willowfield/Router.java
+++ b/decisions/src/main/java/willowfield/Router.java
@@ -119,6 +119,16 @@
         boolean wantsProbe(long nowUs, int seat);
     }
 
+    /**
+     * The commits that sessions may have had through another process of this very pooler, which serves or
+     * served beside this one. Asked with every session read; answers in a few nanoseconds, and allocates
+     * nothing.
+     */
+    interface Elsewhere {
+        /** The position that a session's read of that group must see at this time, 0 for any. */
+        long boundUs(long nowUs, int group);
+    }
+
     /**
      * New settings hold for requests from now on. Their list of classes begins with the one in force, so that
      * a class keeps its number, and the requests that are open keep their classes and number of attempts.
@@ -132,6 +142,12 @@
             boolean closed,
             long tookUs, Role role, long positionUs, Report report);
 
+    /**
+     * Asked right before the first byte of an attempt that had to wait for its connection: whether its member
+     * still is new enough for it. Where not, the attempt ends as MOOT.
+     */
+    boolean stands(long nowUs, String requestId);
+
     void onMembers(long nowUs, ListKind kind, List<Member> members);
 
     void onProbe(long nowUs, String memberId, boolean ok, long tookUs, Report report);
--- a/decisions/src/test/java/willowfield/BrainTest.java
+++ b/decisions/src/test/java/willowfield/BrainTest.java
@@ -374,6 +374,42 @@
         assertEquals("b", r.last("q2").member());
     }
 
+    /** Its server may have answered, and the answer be lost: what it told counts as known all the same. */
+    @Test
+    void aWriteInDoubtBindsTheSessionsReads() {
+        Setup s = new Setup();
+        s.marks = Marks.REMEMBERED;
+        Recorder r = s.start(up("a", 0, true), up("b", 0, false));
+        r.probeOk("b", Role.REPLICA, r.now - 10_000);
+        r.ask("w", UNSAFE);
+        r.pass(150_000);
+        r.ask("while out", SESSION);
+        r.end("w", Outcome.RESET);
+        r.ask("after", SESSION);
+        r.pass(150_000);
+        assertEquals(0, r.countTo("b"));
+        r.probeOk("b", Role.REPLICA, r.now - 50_000);
+        r.ask("caught up", SESSION);
+        assertEquals("b", r.last("caught up").member());
+    }
+
+    /** While an attempt waits for its connection, more may have become known that its answer must hold. */
+    @Test
+    void whatWaitsForItsConnectionStandsOnlyWhileItsMemberIsNewEnough() {
+        Setup s = new Setup();
+        s.marks = Marks.REMEMBERED;
+        Recorder r = s.start(up("a", 0, true), up("b", 0, false));
+        r.probeOk("b", Role.REPLICA, r.now - 100_000);
+        r.ask("w", UNSAFE);
+        r.ask("q", SESSION);
+        assertEquals("b", r.last("q").member());
+        assertEquals(true, r.router.stands(r.now, "q"));
+        r.end("w", Outcome.OK, Role.PRIMARY, r.now - 5_000);
+        assertEquals(false, r.router.stands(r.now, "q"));
+        r.end("q", Outcome.MOOT);
+        assertEquals("a", r.last("q").member());
+    }
+
     /** Forgotten commits may not free a session to read what is older than its write. */
     @Test
     void commitsThatAreForgottenStillBind() {
--- a/lab/src/test/java/frostreel/lab/virtual/WorldTest.java
+++ b/lab/src/test/java/frostreel/lab/virtual/WorldTest.java
@@ -67,6 +67,10 @@
             return members.stream().filter(m -> m.group() == q.group()).findFirst().orElseThrow().id();
         }
 
+        @Override public boolean stands(long nowUs, String requestId) {
+            return true;
+        }
+
         @Override public void onOutcome(long nowUs, String requestId, int attempt, String memberId,
                 Outcome outcome, boolean closed, long tookUs, Role role, long positionUs, Report report) {
             if (!closed) {
--- a/pooler/src/main/java/frostreel/broker/Broker.java
+++ b/pooler/src/main/java/frostreel/broker/Broker.java
@@ -321,7 +321,7 @@
             }
 
             @Override public boolean mayBegin() {
-                return Broker.this.mayBegin(r);
+                return router.stands(clock.now(), r.id) && Broker.this.mayBegin(r);
             }
         });
         long beginsIn = Math.min(left, r.beginByUs() - now);
