--- a/pooler/src/test/java/frostreel/GoneClientsTest.java
+++ b/pooler/src/test/java/frostreel/GoneClientsTest.java
@@ -8,9 +8,7 @@
 import static frostreel.Stage.rows;
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.io.DataInputStream;
 import java.io.IOException;
-import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
@@ -22,7 +20,6 @@
 
 /** A client that closed its connection or cancelled its request has gone: nothing begins for it any more. */
 class GoneClientsTest extends Story {
-    private static final int CANCEL_REQUEST = 80877102;
     private final BlockingQueue<Stage.Link> handshakes = new LinkedBlockingQueue<>();
 
     /** From now on a connection to the replica comes up when the test lets it. */
@@ -124,47 +121,6 @@
 
     // ---- Cancelling. ----
 
-    /** A client with the key that it was given. */
-    private final class Keyed implements AutoCloseable {
-        final Stage.Link link;
-        int process;
-        int secret;
-
-        Keyed() throws Exception {
-            link = new Stage.Link(stage.connect());
-            link.send(Stage.startup());
-            DataInputStream in = link.in;
-            for (int type = in.read(); type != 'Z'; type = in.read()) {
-                byte[] body = in.readNBytes(in.readInt() - Integer.BYTES);
-                if (type == 'K') {
-                    process = ByteBuffer.wrap(body).getInt();
-                    secret = ByteBuffer.wrap(body).getInt(Integer.BYTES);
-                }
-            }
-            in.readNBytes(in.readInt() - Integer.BYTES);
-            assertThat(process + secret).isNotZero();
-        }
-
-        /** Its end tells that the pooler has done with it. */
-        void cancel(int withSecret) throws Exception {
-            try (Stage.Link other = new Stage.Link(stage.connect())) {
-                other.send(ByteBuffer.allocate(16).putInt(16).putInt(CANCEL_REQUEST).putInt(process)
-                        .putInt(withSecret).array());
-                other.socket.shutdownOutput(); // Its end may be read with its only message.
-                assertThat(other.endsNext()).isTrue();
-            }
-        }
-
-        void endsCancelled() throws Exception {
-            cancel(secret);
-            assertThat(link.takeAnswer()).singleElement().asString().contains("|C57014|");
-        }
-
-        @Override public void close() throws IOException {
-            link.close();
-        }
-    }
-
     @Test void aCancelledRequestThatWaitsForAConnectionIsNeverSent() throws Exception {
         mayNotCancel();
         holdHandshakes();
--- a/pooler/src/test/java/frostreel/Story.java
+++ b/pooler/src/test/java/frostreel/Story.java
@@ -4,6 +4,9 @@
 import static frostreel.Stage.rows;
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.io.DataInputStream;
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.List;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -13,6 +16,7 @@
 /* A read from a socket hears no interrupt, so the test must not run on the thread that waits for it. */
 @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
 abstract class Story {
+    private static final int CANCEL_REQUEST = 80877102;
     Stage stage;
     Stage.Peer primary;
     Stage.Peer replica;
@@ -35,4 +39,45 @@
         assertThat(answer).as("%s", answer).extracting(m -> m.charAt(0)).containsExactly('T', 'D', 'C');
         return answer.get(1).substring(7);
     }
+
+    /** A client with the key that it was given. */
+    final class Keyed implements AutoCloseable {
+        final Stage.Link link;
+        int process;
+        int secret;
+
+        Keyed() throws Exception {
+            link = new Stage.Link(stage.connect());
+            link.send(Stage.startup());
+            DataInputStream in = link.in;
+            for (int type = in.read(); type != 'Z'; type = in.read()) {
+                byte[] body = in.readNBytes(in.readInt() - Integer.BYTES);
+                if (type == 'K') {
+                    process = ByteBuffer.wrap(body).getInt();
+                    secret = ByteBuffer.wrap(body).getInt(Integer.BYTES);
+                }
+            }
+            in.readNBytes(in.readInt() - Integer.BYTES);
+            assertThat(process + secret).isNotZero();
+        }
+
+        /** Its end tells that the pooler has done with it. */
+        void cancel(int withSecret) throws Exception {
+            try (Stage.Link other = new Stage.Link(stage.connect())) {
+                other.send(ByteBuffer.allocate(16).putInt(16).putInt(CANCEL_REQUEST).putInt(process)
+                        .putInt(withSecret).array());
+                other.socket.shutdownOutput(); // Its end may be read with its only message.
+                assertThat(other.endsNext()).isTrue();
+            }
+        }
+
+        void endsCancelled() throws Exception {
+            cancel(secret);
+            assertThat(link.takeAnswer()).singleElement().asString().contains("|C57014|");
+        }
+
+        @Override public void close() throws IOException {
+            link.close();
+        }
+    }
 }
