Count a pipelined request's time from its own last byte, not from its turn

Cause: ClientConnection.query took `now` for each request that had waited behind another on its connection (`cameUs > 0 ? cameUs : now`), so it had its whole time anew at its turn. Its client counts from its sending: it closed before the answer, and the request was lost. That answers come in their order excuses a late answer, and gives no new time.

Now each message has the time of its own last byte, by offset (ArrivalTimes: at most 256 arrivals, 4 KiB, two arrays of four where nothing waits; where more come, neighbours are one arrival and have the earlier time). What has no time left at its turn is refused then, unsent: Brain.spent and Brain.stuck hold for any deadline that is past or nearly so, Broker.submit's overdue entry in the past runs in the next turn at the earliest, behind the module's event. What may be known of bytes that waited unread is as before (Loop. cameSinceUs, and when the socket was last read), but for the latter being noted before the requests found are taken: bytes that come during a long turn of theirs can have come since then.

sinceWriteUs stays a figure of now: Brain.need adds it to the time at which it hears of the request, so the position that `after` names comes out, 2 ms later at the least, however long the request waited.

Two tests hold ArrivalTimes to its times and its bound.

--- a/pooler/src/main/java/frostreel/net/ClientConnection.java
+++ b/pooler/src/main/java/frostreel/net/ClientConnection.java
@@ -63,8 +63,10 @@
     private int dropped;
     /** How much memory for what waits to be taken is counted with all that is held. */
     private int held;
-    /** When all that had come was last taken, and since when what is being taken may have been here. */
-    private long tookUs;
+    /** When all that had come was last read. */
+    private long readUs;
+    private final ArrivalTimes arrivals = new ArrivalTimes();
+    /** Since when the message that is being taken may have been here, by its last byte. */
     private long cameUs;
     /** Its socket was read empty in this very call, so that there is no need to look again. */
     private boolean justLooked;
@@ -124,18 +126,17 @@
             }
             return;
         }
-        cameUs = cameUs > 0 ? cameUs : Math.max(loop.cameSinceUs(), tookUs);
+        arrivals.add(in.remaining(), Math.max(loop.cameSinceUs(), readUs));
         reader.feed(in);
     }
 
     /** Only now, as a client that asked and went is not to be asked for any more. */
     @Override public void caughtUp() {
+        readUs = loop.clock().now();
         boolean before = justLooked;
         justLooked = true;
         take();
         justLooked = before;
-        cameUs = 0;
-        tookUs = loop.clock().now();
         if (phase.compareTo(Phase.LINGERING) < 0 && (busy || !stream.flushed()) && reader.buffered()
                 > (loop.holdsMuch() ? LEAST_BACKLOG_BYTES : BACKLOG_BYTES)) {
             overrun = true;
@@ -171,6 +172,7 @@
                     }
                     break;
                 }
+                cameUs = arrivals.take(reader.buffered());
                 if (phase == Phase.STARTUP) {
                     startup();
                 } else {
@@ -182,7 +184,7 @@
             fatal(Messages.PROTOCOL_VIOLATION, e.getMessage());
         } finally {
             taking = false;
-            hold(phase.compareTo(Phase.LINGERING) < 0 ? reader.memory() : 0);
+            hold(phase.compareTo(Phase.LINGERING) < 0 ? reader.memory() + arrivals.memory() : 0);
         }
         if (phase.compareTo(Phase.LINGERING) < 0 && !busy) {
             stream.resumeReads();
@@ -306,13 +308,13 @@
             return;
         }
         long now = loop.clock().now();
-        long came = cameUs > 0 ? cameUs : now; // What waited for another answer has its time from now on.
+        // Of now: the module takes it as of when it hears of the request, however long that waited here.
         long sinceWriteUs = s.afterMs() == 0 ? 0 : Math.max(1, now - s.afterMs() * 1000);
         busy = true;
         heard();
         listener.busy(this);
         long handle = listener.broker().submit(new Broker.Ask(s.id(), cls, s.session(),
-                s.cluster(), Math.min(came + s.patienceMs() * 1000 - TRANSIT_US, listener.answerBy()),
+                s.cluster(), Math.min(cameUs + s.patienceMs() * 1000 - TRANSIT_US, listener.answerBy()),
                 sinceWriteUs, s.repeated()), s, this);
         if (busy) {
             request = handle;
--- /dev/null
+++ b/pooler/src/test/java/frostreel/PipelineTest.java
@@ -0,0 +1,170 @@
+package frostreel;
+
+import static frostreel.Stage.look;
+import static frostreel.Stage.post;
+import static frostreel.Stage.query;
+import static frostreel.Stage.row;
+import static frostreel.Stage.rows;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import frostreel.net.ArrivalTimes;
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import org.junit.jupiter.api.Test;
+
+/** What waits behind another request of its connection has its time from its own arrival, and its turn. */
+class PipelineTest extends Story {
+    private static final int PATIENCE_MS = 300;
+    private final BlockingQueue<Stage.Link> held = new LinkedBlockingQueue<>();
+
+    /** The primary answers the first request when the test lets it. */
+    private void holdFirst() throws Exception {
+        Stage.Script usual = rows("from-primary", "primary");
+        primary.script = (text, link) -> {
+            if (text.contains("id=first,")) {
+                held.add(link);
+            } else {
+                usual.answer(text, link);
+            }
+        };
+        start();
+    }
+
+    private static byte[] first() {
+        return query(post("first", 9000));
+    }
+
+    /** Returns with the server's link once all that was sent has been read and short patience is over. */
+    private Stage.Link firstIsOutAndPatienceOver() throws Exception {
+        Stage.Link link = held.take();
+        try (Stage.Link other = stage.client()) { // Come later, it is read no earlier than in the same turn.
+            other.ask("");
+            other.ask("");
+        }
+        Stage.pass(System.nanoTime(), PATIENCE_MS);
+        return link;
+    }
+
+    private static void answerFirst(Stage.Link link) throws Exception {
+        link.send(row("of-first", "primary"), Stage.READY);
+    }
+
+    private static void isRefused(List<String> answer) {
+        assertThat(answer).singleElement().asString().contains("|C53300|");
+    }
+
+    private void countsTwoAttemptsAndOneRefusal() {
+        assertThat(stage.pooler.counters()).contains(" requests=3 ").contains(" refused=1 ")
+                .contains(" failed=0 ").contains(" overdue=0 ").contains(" attempts=2 ");
+    }
+
+    @Test void theTimeThatARequestWaitedBehindAnotherIsNotGivenTwice() throws Exception {
+        holdFirst();
+        try (Stage.Link c = stage.client()) {
+            c.send(first(), query(look("dead", PATIENCE_MS)), query(look("live", 9000)));
+            answerFirst(firstIsOutAndPatienceOver());
+            assertThat(value(c.takeAnswer())).isEqualTo("of-first");
+            isRefused(c.takeAnswer());
+            assertThat(value(c.takeAnswer())).isEqualTo("from-replica");
+            assertThat(Integer.parseInt(replica.next().replaceAll(".*id=live,.*,d=(\\d+),.*", "$1")
+                    .replace("|", ""))).isLessThanOrEqualTo(9000 - PATIENCE_MS);
+            countsTwoAttemptsAndOneRefusal();
+        }
+    }
+
+    @Test void behindARequestThatIsCancelledEachHasItsOwnTime() throws Exception {
+        holdFirst();
+        try (Keyed c = new Keyed()) {
+            c.link.send(first(), query(look("dead", PATIENCE_MS)), query(look("live", 9000)));
+            firstIsOutAndPatienceOver();
+            c.endsCancelled();
+            isRefused(c.link.takeAnswer());
+            assertThat(value(c.link.takeAnswer())).isEqualTo("from-replica");
+            countsTwoAttemptsAndOneRefusal();
+        }
+    }
+
+    @Test void whatWaitsAtTheEndOfTheProgramIsAnsweredInItsOrderAndThenClosed() throws Exception {
+        holdFirst();
+        try (Stage.Link c = stage.client()) {
+            c.send(first(), query(look("dead", PATIENCE_MS)), query(look("live", 9000)));
+            Stage.Link link = firstIsOutAndPatienceOver();
+            Thread stop = Stage.spawn(stage.pooler::stop);
+            while (stop.getState() != Thread.State.TIMED_WAITING) {
+                Thread.onSpinWait();
+            }
+            answerFirst(link);
+            assertThat(value(c.takeAnswer())).isEqualTo("of-first");
+            isRefused(c.takeAnswer());
+            assertThat(value(c.takeAnswer())).isEqualTo("from-replica");
+            assertThat(c.endsNext()).isTrue();
+            countsTwoAttemptsAndOneRefusal();
+        }
+    }
+
+    @Test void twoHundredCommandsOfAllKindsHaveOneAnswerEachInTheirOrder() throws Exception {
+        replica.script = (text, link) -> link.send(row(text.replaceAll(".*id=(\\w+),.*", "$1").replace("|",
+                ""), "replica"), Stage.READY);
+        holdFirst();
+        ByteArrayOutputStream all = new ByteArrayOutputStream();
+        all.writeBytes(first());
+        for (int i = 1; i < 200; i++) {
+            all.writeBytes(query(switch (i % 4) {
+                case 0 -> look("live" + i, 9000);
+                case 1 -> look("dead" + i, PATIENCE_MS);
+                case 2 -> "no statement";
+                default -> "";
+            }));
+        }
+        try (Stage.Link c = stage.client()) {
+            c.send(all.toByteArray());
+            answerFirst(firstIsOutAndPatienceOver());
+            assertThat(value(c.takeAnswer())).isEqualTo("of-first");
+            for (int i = 1; i < 200; i++) {
+                List<String> answer = c.takeAnswer();
+                switch (i % 4) {
+                    case 0 -> assertThat(value(answer)).isEqualTo("live" + i);
+                    case 1 -> isRefused(answer);
+                    case 2 -> assertThat(answer).singleElement().asString().contains("|C22023|");
+                    default -> assertThat(answer).containsExactly("I");
+                }
+            }
+            assertThat(value(c.ask("SHOW stats"))).contains(" requests=100 ").contains(" served=50 ")
+                    .contains(" refused=50 ").contains(" failed=0 ").contains(" attempts=50 ")
+                    .contains(" malformed=50 ").contains(" stray_exceptions=0 ");
+        }
+    }
+
+    @Test void eachPieceHasTheTimeOfItsOwnLastByte() {
+        ArrivalTimes times = new ArrivalTimes();
+        times.add(10, 100_000);
+        times.add(10, 200_000);
+        times.add(5, 300_000);
+        assertThat(times.take(17)).isEqualTo(100_000);
+        assertThat(times.take(15)).isEqualTo(100_000);
+        assertThat(times.take(14)).isEqualTo(200_000);
+        assertThat(times.take(0)).isEqualTo(300_000);
+        times.add(3, 300_001); // Nothing waits: it has no part in what came before.
+        times.add(3, 300_900); // As good as the same moment, and so the earlier one.
+        assertThat(times.take(0)).isEqualTo(300_001);
+    }
+
+    @Test void aByteAtATimeTakesNoMoreMemoryAndHasAHardlyEarlierTime() {
+        ArrivalTimes times = new ArrivalTimes();
+        int idle = times.memory();
+        int n = 100_000;
+        long apartUs = 1500;
+        for (int i = 0; i < n; i++) {
+            times.add(1, i * apartUs);
+        }
+        assertThat(times.memory()).isLessThanOrEqualTo(ArrivalTimes.MOST * 2 * Long.BYTES);
+        for (int i = 0; i < n; i++) {
+            assertThat(times.take(n - 1 - i)).isBetween(i * apartUs - n * apartUs / 60, i * apartUs);
+        }
+        times.add(1, n * apartUs);
+        assertThat(times.memory()).isEqualTo(idle);
+        assertThat(times.take(0)).isEqualTo(n * apartUs);
+    }
+}
