--- a/pooler/src/main/java/frostreel/net/ArrivalTimes.java
+++ b/pooler/src/main/java/frostreel/net/ArrivalTimes.java
@@ -8,8 +8,8 @@
  *
  * <p>At most {@link #MOST} are kept, 4 KiB, and nothing but two short arrays where nothing waits. Arrivals
  * closer to each other than a grain are one and have the earlier time, so that none seems to have more time
- * than it has. The grain is a millisecond and doubles where more would have to be kept: a time is too early by
- * a millisecond at the most, or by a sixtieth of the longest that any byte waited since last none did.
+ * than it has. The grain is a millisecond and doubles where more would have to be kept: a time is too early
+ * by a millisecond at the most, or by a sixtieth of the longest that any byte waited since last none did.
  * Times are microseconds. Owner: the connection, on the I/O thread.
  */
 public final class ArrivalTimes {
