Let the processes of an upgrade know each other's commits, by a file that both map

Where settings have sessions' commits remembered, a session's read must see the writes that went through the same pooler, and on an upgrade two processes are one pooler. Cause: SessionCommits is a process's own, and nothing implemented Router.Elsewhere (Pooler.router passed none).

CommitBoard (pure) holds the rule: each process writes a place of its own in shared longs, before an attempt's first byte and before its answer's; what is out binds from when its answer may count as known, what ended in doubt until its deadline. So it needs no age of a beat to be right: a process that was killed or stands still left what is true of it. The beat only says whose place a new life may take, and that life loses nothing of what is in it. CommitFile maps it in frostreel-orders; Beside opens it where the socket is inherited and commits are remembered, and serves by the protocol's bound alone, now less 100 ms, where the file is of no use. Broker tells the log of each write's attempt and end. NearFirst is public, as the program wires the decisions.

--- a/decisions/src/main/java/willowfield/NearFirst.java
+++ b/decisions/src/main/java/willowfield/NearFirst.java
@@ -1,12 +1,12 @@
 package willowfield;
 
 /** The adviser of an installation that states no tiers: another zone is dearer, and nothing else is said. */
-final class NearFirst implements Router.Adviser {
+public final class NearFirst implements Router.Adviser {
     /** Times dearer than a member of one's own zone. */
     private static final double FAR = 2;
     private final int own;
 
-    NearFirst(int ownZone) {
+    public NearFirst(int ownZone) {
         own = ownZone;
     }
 
--- /dev/null
+++ b/decisions/src/test/java/frostreel/operation/CommitBoardTest.java
@@ -0,0 +1,159 @@
+package frostreel.operation;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.Arrays;
+import java.util.SplittableRandom;
+import org.junit.jupiter.api.Test;
+import willowfield.Router.Outcome;
+
+class CommitBoardTest {
+    private static final long NOW = 1_000_000_000;
+    private static final long DEADLINE = NOW + 3_000_000;
+    private static final int KEY = 7;
+    private final long[] file = new long[CommitBoard.LONGS];
+    private final SharedLongs longs = new SharedLongs() {
+        @Override public long get(int index) {
+            return file[index];
+        }
+
+        @Override public void set(int index, long value) {
+            file[index] = value;
+        }
+
+        @Override public boolean swap(int index, long from, long to) {
+            boolean same = file[index] == from;
+            file[index] = same ? to : from;
+            return same;
+        }
+    };
+    private long lives;
+    private final CommitBoard before = begin(NOW);
+    private final CommitBoard after = begin(NOW);
+
+    private CommitBoard begin(long now) {
+        return new CommitBoard(longs, ++lives, now);
+    }
+
+    /** A write that was sent now and has ended so much later. */
+    private static void write(CommitBoard by, long us, Outcome outcome, long commitUs) {
+        by.sent(NOW, KEY, DEADLINE);
+        by.ended(NOW + us, KEY, DEADLINE, outcome, commitUs);
+    }
+
+    private static long known(long now) {
+        return now - CommitBoard.KNOWN_AFTER_US;
+    }
+
+    @Test void oneThatIsAloneIsBoundByNothingItselfDid() {
+        Arrays.fill(file, 0);
+        CommitBoard alone = begin(NOW);
+        write(alone, 10, Outcome.OK, NOW + 5);
+        write(alone, 10, Outcome.TIMEOUT, 0);
+        alone.sent(NOW, KEY, DEADLINE);
+        assertThat(alone.boundUs(NOW + 2_000_000, KEY)).isZero();
+    }
+
+    @Test void whatOneAnsweredBindsTheOtherBothWaysAndOfNoOtherKey() {
+        write(before, 10, Outcome.OK, NOW - 4_000);
+        assertThat(after.boundUs(NOW + 10, KEY)).as("told in milliseconds").isEqualTo(NOW - 3_000);
+        assertThat(before.boundUs(NOW + 10, KEY)).isZero();
+        assertThat(after.boundUs(NOW + 10, KEY + 1)).isZero();
+        write(after, 20, Outcome.OK, 0);
+        assertThat(before.boundUs(NOW + 2_000, KEY)).as("a commit that is not told").isEqualTo(NOW + 1_020);
+        write(before, 30, Outcome.OK, NOW - 6_000);
+        assertThat(after.boundUs(NOW + 10, KEY)).as("an older one after it").isEqualTo(NOW - 3_000);
+    }
+
+    @Test void whatIsOutBindsOnceItsAnswerMayCountAsKnown() {
+        before.sent(NOW, KEY, DEADLINE);
+        before.sent(NOW + 50_000, KEY, DEADLINE);
+        assertThat(after.boundUs(NOW + 100_000, KEY)).isZero();
+        assertThat(after.boundUs(NOW + 150_000, KEY)).isEqualTo(NOW + 50_000);
+        before.ended(NOW + 160_000, KEY, DEADLINE, Outcome.CONNECT_FAILED, 0);
+        assertThat(after.boundUs(NOW + 170_000, KEY)).isEqualTo(NOW + 70_000);
+        before.ended(NOW + 180_000, KEY, DEADLINE, Outcome.MISS, 0);
+        assertThat(after.boundUs(NOW + 190_000, KEY)).isZero();
+    }
+
+    @Test void anEndWithoutAWordBindsForAsLongAsItMayBeAnswered() {
+        write(before, 10, Outcome.RESET, 0);
+        assertThat(after.boundUs(NOW + 10_000, KEY)).isEqualTo(known(NOW + 10_000));
+        assertThat(after.boundUs(NOW + 900_000, KEY)).isEqualTo(NOW + 10);
+        write(before, 20, Outcome.TIMEOUT, 0);
+        assertThat(after.boundUs(NOW + 900_000, KEY)).isEqualTo(known(NOW + 900_000));
+        assertThat(after.boundUs(DEADLINE + 900_000, KEY)).isEqualTo(DEADLINE);
+    }
+
+    @Test void whatOneHadInHandThatWasKilledBindsUntilItsDeadlineAndForEveryLaterLife() {
+        before.sent(NOW, KEY, DEADLINE);
+        CommitBoard third = begin(NOW + 500_000);
+        for (CommitBoard other : new CommitBoard[] {after, third}) {
+            assertThat(other.boundUs(NOW + 900_000, KEY)).isEqualTo(known(NOW + 900_000));
+            assertThat(other.boundUs(DEADLINE + 900_000, KEY)).isEqualTo(DEADLINE);
+        }
+    }
+
+    @Test void oneThatStoodStillPastItsDeadlinesIsBelievedAgainWhenItGoesOn() {
+        before.sent(NOW, KEY, DEADLINE);
+        before.ended(DEADLINE + 1_000_000, KEY, DEADLINE, Outcome.OK, DEADLINE + 40_000);
+        assertThat(after.boundUs(DEADLINE + 2_000_000, KEY)).isEqualTo(DEADLINE + 41_000);
+    }
+
+    @Test void livesThatEndAtTheirStartTakeNobodysPlaceWhoLives() {
+        write(after, 10, Outcome.OK, NOW);
+        for (long now = NOW; now < NOW + 20; now++) {
+            before.beat(now);
+            after.beat(now);
+            begin(now);
+        }
+        CommitBoard last = begin(NOW + 20);
+        write(before, 30, Outcome.OK, NOW + 4_000);
+        assertThat(last.boundUs(NOW + 10_000, KEY)).isEqualTo(NOW + 5_000);
+        assertThat(after.boundUs(NOW + 10_000, KEY)).isEqualTo(NOW + 5_000);
+        write(last, 40, Outcome.OK, NOW + 6_000);
+        assertThat(before.boundUs(NOW + 10_000, KEY)).isEqualTo(NOW + 7_000);
+    }
+
+    @Test void aPlaceTakenOverLosesNothingOfWhatWasInIt() {
+        write(before, 10, Outcome.OK, NOW - 4_000);
+        before.sent(NOW, KEY, DEADLINE);
+        CommitBoard[] later = new CommitBoard[CommitBoard.PLACES];
+        for (int i = 0; i < later.length; i++) {
+            later[i] = begin(NOW + 1 + i);
+        }
+        for (CommitBoard other : later) {
+            assertThat(other.boundUs(NOW + 10, KEY)).isEqualTo(NOW - 3_000);
+            assertThat(other.boundUs(NOW + 900_000, KEY)).isEqualTo(known(NOW + 900_000));
+        }
+    }
+
+    @Test void oneWhosePlaceWasTakenWhileItStoodStillTakesAnotherAndShowsWhatItHasOut() {
+        before.sent(NOW, KEY, DEADLINE);
+        CommitBoard[] later = new CommitBoard[CommitBoard.PLACES];
+        for (int i = 0; i < later.length; i++) {
+            later[i] = begin(NOW + 1 + i);
+        }
+        before.beat(NOW + 100);
+        for (CommitBoard other : later) {
+            assertThat(other.boundUs(NOW + 900_000, KEY)).isEqualTo(known(NOW + 900_000));
+        }
+        before.ended(NOW + 900_000, KEY, DEADLINE, Outcome.OK, NOW + 898_000);
+        for (CommitBoard other : later) {
+            assertThat(other.boundUs(NOW + 990_000, KEY)).isEqualTo(NOW + 899_000);
+        }
+    }
+
+    @Test void marksOfAClockThatWasAheadAndWhateverElseIsThereBindToNowAtMost() {
+        SplittableRandom draw = new SplittableRandom(7);
+        write(before, 10, Outcome.OK, NOW + 9_000_000);
+        assertThat(after.boundUs(NOW, KEY)).isEqualTo(NOW);
+        Arrays.setAll(file, i -> i % 3 == 0 ? 0 : draw.nextLong());
+        CommitBoard amid = begin(NOW);
+        amid.sent(NOW, KEY, DEADLINE);
+        amid.ended(NOW, KEY, DEADLINE, Outcome.OK, NOW);
+        for (int key = 0; key < 1000; key++) {
+            assertThat(amid.boundUs(NOW, key)).isBetween(0L, NOW);
+        }
+    }
+}
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -4,6 +4,7 @@
 import frostreel.broker.Deadlines;
 import frostreel.config.Config;
 import frostreel.config.HostList;
+import frostreel.control.Beside;
 import frostreel.control.CallListener;
 import frostreel.control.Operator;
 import frostreel.discovery.Watch;
@@ -24,6 +25,7 @@
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import willowfield.Brain;
+import willowfield.NearFirst;
 import willowfield.Router;
 
 /** One pooler: owns its parts, wires them, and sees to their start and their end. */
@@ -56,6 +58,7 @@
     /** The list known from the start; null once it is taken. */
     private HostList known;
     private ZoneAdviser advice;
+    private final Beside beside;
     /** Null where no poolers see each other. */
     private final Fellows fellows;
     private final OperatorSettings.Cluster cluster;
@@ -81,9 +84,12 @@
             throws IOException {
         this.knownPatienceUs = knownPatienceUs;
         loop = new Loop();
+        beside = Beside.of(config, loop.clock().now());
+        loop.onBeat(beside.writes()::beat);
         pool = new ServerPool(loop, config.settings(), config.maxServerConnections());
         broker = new Broker(loop.clock(), loop.deadlines(), loop.counters(), pool, config.settings(),
-                config.maxOpen(), (settings, actions) -> router(config, operators, settings, actions));
+                config.maxOpen(), (settings, actions) -> router(config, operators, settings, actions),
+                beside.writes());
         inForce = config;
         attempts = config.settings().limits().maxAttempts();
         classes = new ClassTable(config.settings().classes());
@@ -115,11 +121,11 @@
     private Router router(Config config, OperatorSettings operators, Router.Settings settings,
             Router.Actions actions) {
         if (operators.zones() == null) {
-            return new Brain(settings, actions);
+            return new Brain(settings, actions, new NearFirst(settings.zone()), beside.elsewhere());
         }
         advice = new ZoneAdviser(settings, operators.zonesFor(settings.zone(), config.zones()).orElseThrow(),
                 new SplittableRandom(settings.seed()).nextDouble());
-        return new Brain(settings, actions, advice);
+        return new Brain(settings, actions, advice, beside.elsewhere());
     }
 
     private void readNews() {
--- a/pooler/src/main/java/frostreel/broker/Broker.java
+++ b/pooler/src/main/java/frostreel/broker/Broker.java
@@ -1,5 +1,6 @@
 package frostreel.broker;
 
+import frostreel.operation.CommitLog;
 import frostreel.stats.Counters;
 import java.util.ArrayDeque;
 import java.util.HashSet;
@@ -67,6 +68,7 @@
     private final Counters counters;
     private final BackEnd backEnd;
     private final Router router;
+    private final CommitLog commits;
     private Router.Settings settings;
     private final SlotTable<Entry> requests;
     private final Set<Integer> groups = new HashSet<>();
@@ -77,6 +79,14 @@
     public Broker(Clock clock, Deadlines deadlines, Counters counters, BackEnd backEnd,
             Router.Settings settings,
             int maxOpen, BiFunction<Router.Settings, Router.Actions, Router> maker) {
+        this(clock, deadlines, counters, backEnd, settings, maxOpen, maker, CommitLog.NONE);
+    }
+
+    /** {@code commits}: hears of the writes, for the processes that serve beside this one. */
+    public Broker(Clock clock, Deadlines deadlines, Counters counters, BackEnd backEnd,
+            Router.Settings settings, int maxOpen,
+            BiFunction<Router.Settings, Router.Actions, Router> maker, CommitLog commits) {
+        this.commits = commits;
         this.clock = clock;
         this.deadlines = deadlines;
         this.counters = counters;
@@ -260,6 +270,7 @@
             release(r);
             return;
         }
+        settle(now, r, result.outcome(), result.positionUs());
         if (result.outcome() == Outcome.OK && !r.answered) {
             close(r);
             counters.served++;
@@ -270,6 +281,13 @@
         release(r);
     }
 
+    /** Before the answer: its client may read through another process as soon as it has that. */
+    private void settle(long now, Entry r, Outcome outcome, long positionUs) {
+        if (r.rules.access() == Router.Access.WRITE) {
+            commits.ended(now, r.ask.group(), r.ask.deadlineUs(), outcome, positionUs);
+        }
+    }
+
     /** An answer that has begun is the final one: the module hears of the time to its first bytes. */
     private BackEnd.Passage begins(Entry r, int attempt, BackEnd.Flow from) {
         if (r.answered || attempt != r.attempts - 1) {
@@ -281,6 +299,7 @@
         r.passing = true;
         counters.served++;
         counters.longAnswers++;
+        settle(now, r, Outcome.OK, 0);
         BackEnd.Passage passage = r.caller.begins(from);
         event(() -> router.onOutcome(now, r.id, attempt, r.memberId, Outcome.OK, true, now - r.sentUs,
                 Router.Role.UNKNOWN, 0, null));
@@ -311,6 +330,9 @@
         counters.attempts++;
         r.memberId = memberId;
         r.sentUs = now;
+        if (r.rules.access() == Router.Access.WRITE) {
+            commits.sent(now, r.ask.group(), r.ask.deadlineUs());
+        }
         r.inFlight = backEnd.start(memberId, r.payload, left, new BackEnd.Sink() {
             @Override public void ended(BackEnd.Result result) {
                 event(() -> Broker.this.ended(r, attempt, result));
--- /dev/null
+++ b/pooler/src/main/java/frostreel/control/Beside.java
@@ -0,0 +1,50 @@
+package frostreel.control;
+
+import frostreel.config.Config;
+import frostreel.operation.CommitBoard;
+import frostreel.operation.CommitLog;
+import java.io.IOException;
+import java.util.SplittableRandom;
+import java.util.logging.Logger;
+import willowfield.Router;
+
+/**
+ * What this process tells of its writes to those that serve beside it as the same pooler, and what it knows
+ * of theirs: by a file that all of them map, where there may be others and settings have sessions' commits
+ * remembered. Where that file is of no use, the others' writes bind as soon as they count as known.
+ */
+public record Beside(CommitLog writes, Router.Elsewhere elsewhere) {
+    private static final Logger LOG = Logger.getLogger(Beside.class.getName());
+
+    /** Opens the file, if there is to be one; blocks for that, so before the loop has anything to do. */
+    public static Beside of(Config config, long nowUs) {
+        if (!config.inherits() || config.settings().marks() != Router.Marks.REMEMBERED) {
+            return new Beside(CommitLog.NONE, (now, key) -> 0);
+        }
+        return Joined.of(config, nowUs);
+    }
+
+    /** Apart, so that a process which has none beside it loads nothing of all this. */
+    private static final class Joined {
+        static Beside of(Config config, long nowUs) {
+            try {
+                if (config.orders() == null) {
+                    throw new IOException("there is no folder for it");
+                }
+                CommitFile file = CommitFile.open(config.orders());
+                if (file.replaced() != null) {
+                    warn(file.replaced());
+                }
+                CommitBoard board = new CommitBoard(file, new SplittableRandom().nextLong() | 1, nowUs);
+                return new Beside(board, file.replaced() == null ? board : CommitBoard.BLIND);
+            } catch (IOException | UnsupportedOperationException e) { // Such a file system has no links.
+                warn(e.toString());
+                return new Beside(CommitLog.NONE, CommitBoard.BLIND);
+            }
+        }
+
+        private static void warn(String why) {
+            LOG.warning("commits of other processes are not known: " + why);
+        }
+    }
+}
--- a/pooler/src/main/java/frostreel/net/Loop.java
+++ b/pooler/src/main/java/frostreel/net/Loop.java
@@ -6,6 +6,7 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.Xnio;
@@ -36,6 +37,7 @@
     private XnioExecutor.Key alarm;
     private boolean ending;
     private Runnable awoken = () -> { };
+    private LongConsumer beaten = nowUs -> { };
     private long lastUs = clock.now();
     private long heldBytes;
     private long beatUs = lastUs;
@@ -85,6 +87,12 @@
         lateSinceUs = clock.now() - beatUs > LATE_US ? beatUs : Long.MAX_VALUE;
         beatUs = clock.now();
         deadlines.after(BEAT_US, this::beat);
+        beaten.accept(beatUs);
+    }
+
+    /** What is told the time at each beat, five times a second. */
+    public void onBeat(LongConsumer beaten) {
+        this.beaten = beaten;
     }
 
     /**
--- /dev/null
+++ b/pooler/src/test/java/frostreel/BesideTest.java
@@ -0,0 +1,116 @@
+package frostreel;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import frostreel.config.Config;
+import frostreel.control.Beside;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.channels.FileChannel;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardOpenOption;
+import java.util.List;
+import java.util.Map;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import willowfield.Router.Outcome;
+
+/** The file that the processes of one pooler share: two of them, each with a mapping of its own. */
+class BesideTest {
+    private static final long NOW = 1_000_000_000;
+    private static final String CARRIED = Stage.configuration("127.0.0.1:1");
+    private static final String REMEMBERED = CARRIED.replace("carried", "remembered");
+    @TempDir Path dir;
+
+    private Beside begin(String config, String descriptor) throws Exception {
+        return Beside.of(Config.parse(config, Map.of("GW_FD", descriptor, "TMPDIR", dir.toString())), NOW);
+    }
+
+    private Beside begin() throws Exception {
+        return begin(REMEMBERED, "0");
+    }
+
+    private Path folder() {
+        return dir.resolve("frostreel-orders");
+    }
+
+    private static void write(Beside by, long commitUs) {
+        by.writes().sent(NOW, 7, NOW + 1_000_000);
+        by.writes().ended(NOW, 7, NOW + 1_000_000, Outcome.OK, commitUs);
+    }
+
+    /** What a read of that key must see at that time. */
+    private static long bound(Beside at) {
+        return at.elsewhere().boundUs(NOW + 50_000, 7);
+    }
+
+    private void blind(Beside at) {
+        assertThat(bound(at)).as("all that counts as known").isEqualTo(NOW - 50_000);
+    }
+
+    @Test void whatOneProcessAnsweredBindsTheOtherBothWays() throws Exception {
+        Beside before = begin();
+        Beside after = begin();
+        assertThat(List.of(bound(before), bound(after))).containsOnly(0L);
+        write(before, NOW + 2_000);
+        assertThat(bound(after)).isEqualTo(NOW + 3_000);
+        assertThat(bound(before)).isZero();
+        write(after, NOW + 5_000);
+        assertThat(bound(before)).isEqualTo(NOW + 6_000);
+        assertThat(bound(begin())).as("a third").isEqualTo(NOW + 6_000);
+    }
+
+    @Test void whereNobodyIsBesideOrNothingIsRememberedThereIsNoFile() throws Exception {
+        for (Beside alone : List.of(begin(REMEMBERED, ""), begin(CARRIED, "0"))) {
+            write(alone, NOW);
+            assertThat(bound(alone)).isZero();
+        }
+        assertThat(folder()).doesNotExist();
+    }
+
+    private Path damaged(String how) throws IOException {
+        Path file = folder().resolve("commits");
+        try (FileChannel f = FileChannel.open(file, StandardOpenOption.WRITE)) {
+            switch (how) {
+                case "empty" -> f.truncate(0);
+                case "cut short" -> f.truncate(f.size() - 1);
+                case "longer" -> f.write(ByteBuffer.allocate(8), f.size());
+                default -> f.write(ByteBuffer.wrap(new byte[] {2}), 0);
+            }
+        }
+        return file;
+    }
+
+    @Test void afterAFileThatIsDamagedOrOfAnotherVersionOneIsBlindAndTheNextIsNot() throws Exception {
+        for (String how : List.of("empty", "cut short", "longer", "of another version")) {
+            Files.deleteIfExists(folder().resolve("commits"));
+            begin();
+            damaged(how);
+            Beside first = begin();
+            blind(first);
+            write(first, NOW + 2_000);
+            blind(first);
+            Beside second = begin();
+            assertThat(bound(second)).as(how).isEqualTo(NOW + 3_000);
+            write(second, NOW + 60_000);
+            blind(first);
+        }
+        try (Stream<Path> left = Files.list(folder())) {
+            assertThat(left).as("nothing half made is left").hasSize(1);
+        }
+    }
+
+    @Test void whereThereCanBeNoFileItServesBlind() throws Exception {
+        Files.createDirectories(folder().resolve("commits")); // Read as root may read and write any.
+        Beside before = begin();
+        write(before, NOW);
+        blind(before);
+        Files.delete(folder().resolve("commits"));
+        Files.delete(folder());
+        Files.createFile(folder());
+        blind(begin());
+        blind(Beside.of(Config.parse(REMEMBERED, Map.of("GW_FD", "0")), NOW));
+    }
+}
