Ask for the other process's commits by session, not by group

By group, each session's read waits for what any session of its group wrote through the other process: with both serving, that is always some milliseconds ago, and hardly a replica is known to be that new. A session's number is all that Brain and Broker need to hand on. Router.Elsewhere and one line of Brain change; the lab's test now also holds that a session which wrote nothing still reads from the replica.

--- a/decisions/src/main/java/frostreel/operation/CommitBoard.java
+++ b/decisions/src/main/java/frostreel/operation/CommitBoard.java
@@ -6,13 +6,12 @@
  * What the processes that serve beside each other as one pooler, or after each other, tell each other of the
  * writes that they carry, in memory that all of them map. Owned by the loop of its process.
  *
- * <p>Each process has a place there, in which it alone writes, and a place has a slot for every key, so that
- * reads of one key wait for few writes of others; keys that share a slot only bind each other. A slot holds
- * the latest commit that was answered, until when a write that ended without a word may be answered, since
- * when a write is out, and until when such a one may be answered. A place is written before an attempt's
- * first byte and before its answer's, so it is true at every moment, also of a process that was killed or
- * stands still: what that had in hand binds until the deadlines of those writes. Own writes bind nothing
- * here, as they are known by session where they were sent.
+ * <p>Each process has a place there, in which it alone writes, and a place has slots for sessions by their
+ * numbers; those that share one only bind each other too. A slot holds the latest commit that was answered,
+ * until when a write that ended without a word may be answered, since when a write is out, and until when
+ * such a one may be answered. A place is written before an attempt's first byte and before its answer's, so
+ * it is true at every moment, also of a process that was killed or stands still: what that had in hand binds
+ * until the deadlines of those writes. Own writes bind nothing here: they are known where they were sent.
  *
  * <p>What earlier lives left is as good as what others that live say: a commit of long ago binds to what
  * every member has. A new life takes the place that was longest without a beat, and loses nothing of what is
@@ -22,18 +21,18 @@
     /** The protocol's figure: what an answer tells counts as known so long after it was written. */
     static final long KNOWN_AFTER_US = 100_000;
     /** Where nothing can be known of the others, what counts as known may be theirs, at any time. */
-    public static final Router.Elsewhere BLIND = (nowUs, key) -> nowUs - KNOWN_AFTER_US;
+    public static final Router.Elsewhere BLIND = (nowUs, session) -> nowUs - KNOWN_AFTER_US;
     /** Commits are told in milliseconds. */
     private static final long ROUNDING_US = 1_000;
     static final int PLACES = 4;
     private static final int SLOT_BITS = 9;
     private static final int SLOTS = 1 << SLOT_BITS;
-    /** Spreads keys over slots, whatever their pattern: 2^64 over the golden ratio. */
+    /** Spreads sessions over slots, whatever their pattern: 2^64 over the golden ratio. */
     private static final long SPREAD = 0x9E3779B97F4A7C15L;
-    /** A place begins with these, and its slots with the next line of the processor's cache. */
+    /** A place begins with these; its slots follow. */
     private static final int LIFE = 0;
     private static final int BEAT = 1;
-    private static final int HEAD = 8;
+    private static final int HEAD = 2;
     /** What a slot holds. */
     private static final int ANSWERED = 0;
     private static final int DOUBT_UNTIL = 1;
@@ -89,8 +88,8 @@
         }
     }
 
-    private static int slot(long key) {
-        return (int) (key * SPREAD >>> Long.SIZE - SLOT_BITS);
+    private static int slot(long session) {
+        return (int) (session * SPREAD >>> Long.SIZE - SLOT_BITS);
     }
 
     private void raise(int index, long to) {
@@ -100,9 +99,9 @@
         }
     }
 
-    @Override public void sent(long nowUs, long key, long deadlineUs) {
+    @Override public void sent(long nowUs, long session, long deadlineUs) {
         hold(nowUs);
-        int slot = slot(key);
+        int slot = slot(session);
         int at = own + HEAD + slot * SLOT;
         outUntil[slot] = Math.max(outUntil[slot], deadlineUs);
         raise(at + OUT_UNTIL, outUntil[slot]);
@@ -113,10 +112,10 @@
     }
 
     /** What a write leaves is written before it stops being out, and read after. */
-    @Override public void ended(long nowUs, long key, long deadlineUs, Router.Outcome outcome,
+    @Override public void ended(long nowUs, long session, long deadlineUs, Router.Outcome outcome,
             long positionUs) {
         hold(nowUs);
-        int slot = slot(key);
+        int slot = slot(session);
         int at = own + HEAD + slot * SLOT;
         if (outcome == Router.Outcome.OK) {
             raise(at + ANSWERED, positionUs > 0 ? positionUs : nowUs);
@@ -134,8 +133,8 @@
         longs.set(own + BEAT, nowUs);
     }
 
-    @Override public long boundUs(long nowUs, int key) {
-        int slot = slot(key);
+    @Override public long boundUs(long nowUs, long session) {
+        int slot = slot(session);
         long bound = bound(nowUs, answeredBefore[slot], doubtBefore[slot], 0, 0);
         for (int place = 0; place < LONGS; place += PLACE) {
             long writer = longs.get(place + LIFE);
--- a/decisions/src/main/java/frostreel/operation/CommitLog.java
+++ b/decisions/src/main/java/frostreel/operation/CommitLog.java
@@ -9,19 +9,19 @@
 public interface CommitLog {
     /** Where no other process ever serves beside this one. */
     CommitLog NONE = new CommitLog() {
-        @Override public void sent(long nowUs, long key, long deadlineUs) {}
+        @Override public void sent(long nowUs, long session, long deadlineUs) {}
 
-        @Override public void ended(long nowUs, long key, long deadlineUs, Router.Outcome outcome,
+        @Override public void ended(long nowUs, long session, long deadlineUs, Router.Outcome outcome,
                 long positionUs) {}
 
         @Override public void beat(long nowUs) {}
     };
 
-    /** An attempt of a write goes out, before its first byte; {@code key}: whose reads must see it. */
-    void sent(long nowUs, long key, long deadlineUs);
+    /** An attempt of a write goes out, before its first byte, of that session. */
+    void sent(long nowUs, long session, long deadlineUs);
 
     /** It has ended, before its client is told anything; {@code positionUs}: its commit, 0 where not told. */
-    void ended(long nowUs, long key, long deadlineUs, Router.Outcome outcome, long positionUs);
+    void ended(long nowUs, long session, long deadlineUs, Router.Outcome outcome, long positionUs);
 
     /** This process runs; told several times a second. */
     void beat(long nowUs);
--- a/decisions/src/main/java/willowfield/Brain.java
+++ b/decisions/src/main/java/willowfield/Brain.java
@@ -169,7 +169,7 @@
     }
 
     public Brain(Settings settings, Actions actions, Adviser adviser) {
-        this(settings, actions, adviser, (now, group) -> 0);
+        this(settings, actions, adviser, (now, session) -> 0);
     }
 
     public Brain(Settings settings, Actions actions, Adviser adviser, Elsewhere elsewhere) {
@@ -526,7 +526,7 @@
                 if (set.marks() == Marks.CARRIED) {
                     yield c.q.sinceWriteUs() <= 0 ? 0 : c.arrivedUs - c.q.sinceWriteUs() + 2000;
                 }
-                yield Math.max(commits.need(now, c.q.session()), elsewhere.boundUs(now, c.q.group()));
+                yield Math.max(commits.need(now, c.q.session()), elsewhere.boundUs(now, c.q.session()));
             }
             case ANY -> 0;
             default -> Long.MAX_VALUE;
--- a/decisions/src/main/java/willowfield/Router.java
+++ b/decisions/src/main/java/willowfield/Router.java
@@ -125,8 +125,8 @@
      * nothing.
      */
     interface Elsewhere {
-        /** The position that a session's read of that group must see at this time, 0 for any. */
-        long boundUs(long nowUs, int group);
+        /** The position that a read of that session must see at this time, 0 for any. */
+        long boundUs(long nowUs, long session);
     }
 
     /**
--- a/decisions/src/test/java/frostreel/operation/CommitBoardTest.java
+++ b/decisions/src/test/java/frostreel/operation/CommitBoardTest.java
@@ -10,7 +10,7 @@
 class CommitBoardTest {
     private static final long NOW = 1_000_000_000;
     private static final long DEADLINE = NOW + 3_000_000;
-    private static final int KEY = 7;
+    private static final long SESSION = 7;
     private final long[] file = new long[CommitBoard.LONGS];
     private final SharedLongs longs = new SharedLongs() {
         @Override public long get(int index) {
@@ -37,8 +37,8 @@
 
     /** A write that was sent now and has ended so much later. */
     private static void write(CommitBoard by, long us, Outcome outcome, long commitUs) {
-        by.sent(NOW, KEY, DEADLINE);
-        by.ended(NOW + us, KEY, DEADLINE, outcome, commitUs);
+        by.sent(NOW, SESSION, DEADLINE);
+        by.ended(NOW + us, SESSION, DEADLINE, outcome, commitUs);
     }
 
     private static long known(long now) {
@@ -50,54 +50,54 @@
         CommitBoard alone = begin(NOW);
         write(alone, 10, Outcome.OK, NOW + 5);
         write(alone, 10, Outcome.TIMEOUT, 0);
-        alone.sent(NOW, KEY, DEADLINE);
-        assertThat(alone.boundUs(NOW + 2_000_000, KEY)).isZero();
+        alone.sent(NOW, SESSION, DEADLINE);
+        assertThat(alone.boundUs(NOW + 2_000_000, SESSION)).isZero();
     }
 
-    @Test void whatOneAnsweredBindsTheOtherBothWaysAndOfNoOtherKey() {
+    @Test void whatOneAnsweredBindsTheOtherBothWaysAndOfNoOtherSession() {
         write(before, 10, Outcome.OK, NOW - 4_000);
-        assertThat(after.boundUs(NOW + 10, KEY)).as("told in milliseconds").isEqualTo(NOW - 3_000);
-        assertThat(before.boundUs(NOW + 10, KEY)).isZero();
-        assertThat(after.boundUs(NOW + 10, KEY + 1)).isZero();
+        assertThat(after.boundUs(NOW + 10, SESSION)).as("in milliseconds").isEqualTo(NOW - 3_000);
+        assertThat(before.boundUs(NOW + 10, SESSION)).isZero();
+        assertThat(after.boundUs(NOW + 10, SESSION + 1)).isZero();
         write(after, 20, Outcome.OK, 0);
-        assertThat(before.boundUs(NOW + 2_000, KEY)).as("a commit that is not told").isEqualTo(NOW + 1_020);
+        assertThat(before.boundUs(NOW + 2_000, SESSION)).as("not told").isEqualTo(NOW + 1_020);
         write(before, 30, Outcome.OK, NOW - 6_000);
-        assertThat(after.boundUs(NOW + 10, KEY)).as("an older one after it").isEqualTo(NOW - 3_000);
+        assertThat(after.boundUs(NOW + 10, SESSION)).as("an older one after it").isEqualTo(NOW - 3_000);
     }
 
     @Test void whatIsOutBindsOnceItsAnswerMayCountAsKnown() {
-        before.sent(NOW, KEY, DEADLINE);
-        before.sent(NOW + 50_000, KEY, DEADLINE);
-        assertThat(after.boundUs(NOW + 100_000, KEY)).isZero();
-        assertThat(after.boundUs(NOW + 150_000, KEY)).isEqualTo(NOW + 50_000);
-        before.ended(NOW + 160_000, KEY, DEADLINE, Outcome.CONNECT_FAILED, 0);
-        assertThat(after.boundUs(NOW + 170_000, KEY)).isEqualTo(NOW + 70_000);
-        before.ended(NOW + 180_000, KEY, DEADLINE, Outcome.MISS, 0);
-        assertThat(after.boundUs(NOW + 190_000, KEY)).isZero();
+        before.sent(NOW, SESSION, DEADLINE);
+        before.sent(NOW + 50_000, SESSION, DEADLINE);
+        assertThat(after.boundUs(NOW + 100_000, SESSION)).isZero();
+        assertThat(after.boundUs(NOW + 150_000, SESSION)).isEqualTo(NOW + 50_000);
+        before.ended(NOW + 160_000, SESSION, DEADLINE, Outcome.CONNECT_FAILED, 0);
+        assertThat(after.boundUs(NOW + 170_000, SESSION)).isEqualTo(NOW + 70_000);
+        before.ended(NOW + 180_000, SESSION, DEADLINE, Outcome.MISS, 0);
+        assertThat(after.boundUs(NOW + 190_000, SESSION)).isZero();
     }
 
     @Test void anEndWithoutAWordBindsForAsLongAsItMayBeAnswered() {
         write(before, 10, Outcome.RESET, 0);
-        assertThat(after.boundUs(NOW + 10_000, KEY)).isEqualTo(known(NOW + 10_000));
-        assertThat(after.boundUs(NOW + 900_000, KEY)).isEqualTo(NOW + 10);
+        assertThat(after.boundUs(NOW + 10_000, SESSION)).isEqualTo(known(NOW + 10_000));
+        assertThat(after.boundUs(NOW + 900_000, SESSION)).isEqualTo(NOW + 10);
         write(before, 20, Outcome.TIMEOUT, 0);
-        assertThat(after.boundUs(NOW + 900_000, KEY)).isEqualTo(known(NOW + 900_000));
-        assertThat(after.boundUs(DEADLINE + 900_000, KEY)).isEqualTo(DEADLINE);
+        assertThat(after.boundUs(NOW + 900_000, SESSION)).isEqualTo(known(NOW + 900_000));
+        assertThat(after.boundUs(DEADLINE + 900_000, SESSION)).isEqualTo(DEADLINE);
     }
 
     @Test void whatOneHadInHandThatWasKilledBindsUntilItsDeadlineAndForEveryLaterLife() {
-        before.sent(NOW, KEY, DEADLINE);
+        before.sent(NOW, SESSION, DEADLINE);
         CommitBoard third = begin(NOW + 500_000);
         for (CommitBoard other : new CommitBoard[] {after, third}) {
-            assertThat(other.boundUs(NOW + 900_000, KEY)).isEqualTo(known(NOW + 900_000));
-            assertThat(other.boundUs(DEADLINE + 900_000, KEY)).isEqualTo(DEADLINE);
+            assertThat(other.boundUs(NOW + 900_000, SESSION)).isEqualTo(known(NOW + 900_000));
+            assertThat(other.boundUs(DEADLINE + 900_000, SESSION)).isEqualTo(DEADLINE);
         }
     }
 
     @Test void oneThatStoodStillPastItsDeadlinesIsBelievedAgainWhenItGoesOn() {
-        before.sent(NOW, KEY, DEADLINE);
-        before.ended(DEADLINE + 1_000_000, KEY, DEADLINE, Outcome.OK, DEADLINE + 40_000);
-        assertThat(after.boundUs(DEADLINE + 2_000_000, KEY)).isEqualTo(DEADLINE + 41_000);
+        before.sent(NOW, SESSION, DEADLINE);
+        before.ended(DEADLINE + 1_000_000, SESSION, DEADLINE, Outcome.OK, DEADLINE + 40_000);
+        assertThat(after.boundUs(DEADLINE + 2_000_000, SESSION)).isEqualTo(DEADLINE + 41_000);
     }
 
     @Test void livesThatEndAtTheirStartTakeNobodysPlaceWhoLives() {
@@ -109,51 +109,51 @@
         }
         CommitBoard last = begin(NOW + 20);
         write(before, 30, Outcome.OK, NOW + 4_000);
-        assertThat(last.boundUs(NOW + 10_000, KEY)).isEqualTo(NOW + 5_000);
-        assertThat(after.boundUs(NOW + 10_000, KEY)).isEqualTo(NOW + 5_000);
+        assertThat(last.boundUs(NOW + 10_000, SESSION)).isEqualTo(NOW + 5_000);
+        assertThat(after.boundUs(NOW + 10_000, SESSION)).isEqualTo(NOW + 5_000);
         write(last, 40, Outcome.OK, NOW + 6_000);
-        assertThat(before.boundUs(NOW + 10_000, KEY)).isEqualTo(NOW + 7_000);
+        assertThat(before.boundUs(NOW + 10_000, SESSION)).isEqualTo(NOW + 7_000);
     }
 
     @Test void aPlaceTakenOverLosesNothingOfWhatWasInIt() {
         write(before, 10, Outcome.OK, NOW - 4_000);
-        before.sent(NOW, KEY, DEADLINE);
+        before.sent(NOW, SESSION, DEADLINE);
         CommitBoard[] later = new CommitBoard[CommitBoard.PLACES];
         for (int i = 0; i < later.length; i++) {
             later[i] = begin(NOW + 1 + i);
         }
         for (CommitBoard other : later) {
-            assertThat(other.boundUs(NOW + 10, KEY)).isEqualTo(NOW - 3_000);
-            assertThat(other.boundUs(NOW + 900_000, KEY)).isEqualTo(known(NOW + 900_000));
+            assertThat(other.boundUs(NOW + 10, SESSION)).isEqualTo(NOW - 3_000);
+            assertThat(other.boundUs(NOW + 900_000, SESSION)).isEqualTo(known(NOW + 900_000));
         }
     }
 
     @Test void oneWhosePlaceWasTakenWhileItStoodStillTakesAnotherAndShowsWhatItHasOut() {
-        before.sent(NOW, KEY, DEADLINE);
+        before.sent(NOW, SESSION, DEADLINE);
         CommitBoard[] later = new CommitBoard[CommitBoard.PLACES];
         for (int i = 0; i < later.length; i++) {
             later[i] = begin(NOW + 1 + i);
         }
         before.beat(NOW + 100);
         for (CommitBoard other : later) {
-            assertThat(other.boundUs(NOW + 900_000, KEY)).isEqualTo(known(NOW + 900_000));
+            assertThat(other.boundUs(NOW + 900_000, SESSION)).isEqualTo(known(NOW + 900_000));
         }
-        before.ended(NOW + 900_000, KEY, DEADLINE, Outcome.OK, NOW + 898_000);
+        before.ended(NOW + 900_000, SESSION, DEADLINE, Outcome.OK, NOW + 898_000);
         for (CommitBoard other : later) {
-            assertThat(other.boundUs(NOW + 990_000, KEY)).isEqualTo(NOW + 899_000);
+            assertThat(other.boundUs(NOW + 990_000, SESSION)).isEqualTo(NOW + 899_000);
         }
     }
 
     @Test void marksOfAClockThatWasAheadAndWhateverElseIsThereBindToNowAtMost() {
         SplittableRandom draw = new SplittableRandom(7);
         write(before, 10, Outcome.OK, NOW + 9_000_000);
-        assertThat(after.boundUs(NOW, KEY)).isEqualTo(NOW);
+        assertThat(after.boundUs(NOW, SESSION)).isEqualTo(NOW);
         Arrays.setAll(file, i -> i % 3 == 0 ? 0 : draw.nextLong());
         CommitBoard amid = begin(NOW);
-        amid.sent(NOW, KEY, DEADLINE);
-        amid.ended(NOW, KEY, DEADLINE, Outcome.OK, NOW);
-        for (int key = 0; key < 1000; key++) {
-            assertThat(amid.boundUs(NOW, key)).isBetween(0L, NOW);
+        amid.sent(NOW, SESSION, DEADLINE);
+        amid.ended(NOW, SESSION, DEADLINE, Outcome.OK, NOW);
+        for (long s = 0; s < 1000; s++) {
+            assertThat(amid.boundUs(NOW, s)).isBetween(0L, NOW);
         }
     }
 }
--- a/lab/src/test/java/frostreel/lab/processes/BesideTest.java
+++ b/lab/src/test/java/frostreel/lab/processes/BesideTest.java
@@ -178,6 +178,7 @@
         before.post("7f3a");
         assertThat(before.answer()).isEqualTo("primary");
         Life after = new Life();
+        assertThat(after.look("aaaa")).as("a session that wrote nothing").isEqualTo("replica");
         assertThat(after.look("7f3a")).as("written through the old one").isEqualTo("primary");
         after.post("7f3b");
         assertThat(after.answer()).isEqualTo("primary");
--- a/pooler/src/main/java/frostreel/broker/Broker.java
+++ b/pooler/src/main/java/frostreel/broker/Broker.java
@@ -284,7 +284,7 @@
     /** Before the answer: its client may read through another process as soon as it has that. */
     private void settle(long now, Entry r, Outcome outcome, long positionUs) {
         if (r.rules.access() == Router.Access.WRITE) {
-            commits.ended(now, r.ask.group(), r.ask.deadlineUs(), outcome, positionUs);
+            commits.ended(now, r.ask.session(), r.ask.deadlineUs(), outcome, positionUs);
         }
     }
 
@@ -331,7 +331,7 @@
         r.memberId = memberId;
         r.sentUs = now;
         if (r.rules.access() == Router.Access.WRITE) {
-            commits.sent(now, r.ask.group(), r.ask.deadlineUs());
+            commits.sent(now, r.ask.session(), r.ask.deadlineUs());
         }
         r.inFlight = backEnd.start(memberId, r.payload, left, new BackEnd.Sink() {
             @Override public void ended(BackEnd.Result result) {
--- a/pooler/src/main/java/frostreel/control/Beside.java
+++ b/pooler/src/main/java/frostreel/control/Beside.java
@@ -19,7 +19,7 @@
     /** Opens the file, if there is to be one; blocks for that, so before the loop has anything to do. */
     public static Beside of(Config config, long nowUs) {
         if (!config.inherits() || config.settings().marks() != Router.Marks.REMEMBERED) {
-            return new Beside(CommitLog.NONE, (now, key) -> 0);
+            return new Beside(CommitLog.NONE, (now, session) -> 0);
         }
         return Joined.of(config, nowUs);
     }
--- a/pooler/src/test/java/frostreel/BesideTest.java
+++ b/pooler/src/test/java/frostreel/BesideTest.java
@@ -41,7 +41,7 @@
         by.writes().ended(NOW, 7, NOW + 1_000_000, Outcome.OK, commitUs);
     }
 
-    /** What a read of that key must see at that time. */
+    /** What a read of that session must see at that time. */
     private static long bound(Beside at) {
         return at.elsewhere().boundUs(NOW + 50_000, 7);
     }
