Let the lab play settings, servers and restarts of any deployment

The world's classes, settings and servers were those of one site. A plan now names its site: settings, classes, physics, what reports carry. Poolers are killed and start with their last list; servers stall, fail, keep on working for who gave up. Rules judge refusals of what may have run, lists in which only drains bind, and of falls only what those sent who knew of the start, where a site says so (USUAL stays strict).

--- a/lab/src/main/java/frostreel/lab/model/Physics.java
+++ b/lab/src/main/java/frostreel/lab/model/Physics.java
@@ -5,9 +5,13 @@
  *
  * @param coldFrom share of its capacity with which a server starts, and {@code warmAfterUs} when it is warm
  * @param fallMultiple sent more than so many times its present capacity over {@code fallUs}, a cold one falls
+ * @param toldShare the least part of that work, from senders that knew of the start, by which a fall breaks
+ *     the rule
+ * @param cancels whether work that its sender gives up stops, once it runs
  * @param replayRate seconds of the log that a replica applies in a second, over 1 where it can catch up
  */
 public record Physics(double coldFrom, long warmAfterUs, double fallMultiple, long fallUs, long logDelayUs,
-        double replayRate, int queue) {
-    public static final Physics USUAL = new Physics(0.22, 15_000_000, 3, 2_000_000, 8_000, 1.8, 64);
+        double replayRate, int queue, double toldShare, boolean cancels) {
+    public static final Physics USUAL = new Physics(0.22, 15_000_000, 3, 2_000_000, 8_000, 1.8, 64,
+            0, true);
 }
--- /dev/null
+++ b/lab/src/main/java/frostreel/lab/virtual/Site.java
@@ -0,0 +1,27 @@
+package frostreel.lab.virtual;
+
+import frostreel.lab.model.Physics;
+import java.util.List;
+import java.util.Set;
+import willowfield.Router;
+
+/**
+ * What a deployment states, and how its clients and servers are, whatever their number.
+ *
+ * @param settings as every pooler is told them, but for its seed, its zone and how many there are
+ * @param reports which figures servers' reports carry, of {@code x0}, {@code x1}, {@code load_share}; with
+ *     none of them there are no reports
+ * @param members of each group in each zone
+ * @param sessions of all clients together
+ */
+public record Site(List<Plan.Kind> kinds, Router.Settings settings, Physics physics, Set<String> reports,
+        int members, int sessions) {
+    /** The site in service. */
+    public static final Site USUAL = new Site(Plan.KINDS,
+            new Router.Settings(0, 0, 0, 1_000, Plan.KINDS.stream().map(Plan.Kind::c).toList(),
+                    Router.Checks.REFUSE, Router.ListRole.LATE, Router.Marks.CARRIED, true,
+                    new Router.Limits(10, true, true, true, 2_000_000, false, 0, 250_000, 50_000, 30_000_000,
+                            1),
+                    new Router.Rules(20_000, 1_000_000, false, 0.22, 15_000_000, 3, 2_000_000)),
+            Physics.USUAL, Set.of("x0", "x1", "load_share"), 1, 500);
+}
