Walk by a held write where probes tell no role, and begin a restarted member's share anew

At fault: Brain.walk, provable and asks took any allowed probe for one that reports. Limits.probes is now NONE, LIVENESS or REPORT, read by SettingsReader from caps and stats; only REPORT walks, proves and is waited for, else the walk sends one held write.

--- a/decisions/src/jmh/java/frostreel/zones/AdviserBenchmark.java
+++ b/decisions/src/jmh/java/frostreel/zones/AdviserBenchmark.java
@@ -37,7 +37,8 @@
                 Router.Scope.GROUP, 0, 0, 200_000, 1_000_000, 1, 0);
         Router.Settings settings = new Router.Settings(1, 0, 0, 1000, List.of(read, read), Router.Checks.REFUSE,
                 Router.ListRole.LATE, Router.Marks.CARRIED, true,
-                new Router.Limits(10, true, true, true, 1, false, 0, 250_000, 50_000, 30_000_000, 1),
+                new Router.Limits(10, Router.Probes.REPORT, true, true, 1, false, 0,
+                        250_000, 50_000, 30_000_000, 1),
                 new Router.Rules(20_000, 1_000_000, false, 0.2, 15_000_000, 3, 2_000_000));
         adviser = new ZoneAdviser(settings, new ZoneSettings(0, List.of(
                 new ZoneSettings.Tier(List.of(1), 0.5), new ZoneSettings.Tier(List.of(), 0.5)), 10), 0.5);
--- a/decisions/src/main/java/willowfield/Brain.java
+++ b/decisions/src/main/java/willowfield/Brain.java
@@ -244,6 +244,7 @@
             n.fail = 0;
             n.ratio = 1;
             n.util = -1;
+            n.served.rate = 0; // What it served warm would make the share of the cold too large.
             n.budget = -draw.nextDouble() * work / 1e6;
             n.budgetAt = now;
         }
@@ -346,7 +347,7 @@
             if (!usable(n) || n.probing) {
                 continue;
             }
-            if (set.limits().probes()) {
+            if (set.limits().probes() == Probes.REPORT) {
                 probe(now, n);
                 return;
             }
@@ -361,7 +362,7 @@
     }
 
     private void probe(long now, Node n) {
-        if (set.limits().probes() && !n.probing && usable(n)) {
+        if (set.limits().probes() != Probes.NONE && !n.probing && usable(n)) {
             n.probing = true;
             n.askedAt = now;
             act.probe(n.id);
@@ -544,7 +545,8 @@
      * stood far behind each router would know without asking that it cannot have caught up yet. */
     private boolean provable(long now, Node n, long need) {
         long behind = n.lag - (now - need); // When it last told its position.
-        return now - need > baseLag && now - n.askedAt > WALK_US / 2 && now - n.reportAt > CATCH_UP * behind;
+        return set.limits().probes() == Probes.REPORT && now - need > baseLag
+                && now - n.askedAt > WALK_US / 2 && now - n.reportAt > CATCH_UP * behind;
     }
 
     /** A member listed later gets reads once it answered a probe: a list may name what is none of ours. */
@@ -552,10 +554,10 @@
         if (!n.known && now - n.askedAt > KEEP * WALK_US / 2) {
             probe(now, n);
         }
-        return !n.known && set.limits().probes();
+        return !n.known && set.limits().probes() != Probes.NONE;
     }
 
-    /** Whether to wait for a probe that is out, a tenth of the aim at most. */
+    /** Whether to wait for a probe that is out and may tell a position, a tenth of the aim at most. */
     private boolean asks(long now, Call c) {
         if (c.patienceUs == 0) {
             c.patienceUs = now + Math.max(2 * set.tickUs(), c.k.aimUs() / 10);
@@ -564,7 +566,7 @@
         for (Node n : c.g.chain) {
             any |= n.probing && usable(n) && !c.missed.contains(n);
         }
-        return any && now < c.patienceUs;
+        return any && now < c.patienceUs && set.limits().probes() == Probes.REPORT;
     }
 
     /** So much of its time gone, nothing sent: its client does better to ask elsewhere than to wait on. So
@@ -632,7 +634,7 @@
             g.turn++;
             return;
         }
-        if (unproven != null && now - g.probedAt >= sweepUs && set.limits().probes()) {
+        if (unproven != null && now - g.probedAt >= sweepUs) {
             g.probedAt = now;
             probe(now, unproven);
         }
--- a/decisions/src/main/java/willowfield/Router.java
+++ b/decisions/src/main/java/willowfield/Router.java
@@ -35,6 +35,9 @@
 
     enum Role { UNKNOWN, PRIMARY, REPLICA }
 
+    /** Whether probes are allowed, and whether their answers tell role and position, or only that it runs. */
+    enum Probes { NONE, LIVENESS, REPORT }
+
     enum State { UP, DRAINING, GONE }
 
     enum ListKind { FULL, CHANGES, CACHED, FAILED }
@@ -56,7 +59,7 @@
             long aimUs, long deadlineUs, double worth, double lateWorth) {}
 
     /** What the deployment permits; an idle connection closes by itself, and carries so many at once. */
-    record Limits(int maxAttempts, boolean probes, boolean cancel, boolean retryAdvice, long maxAdviceUs,
+    record Limits(int maxAttempts, Probes probes, boolean cancel, boolean retryAdvice, long maxAdviceUs,
             boolean subscribe, long askWithinUs, long connectTimeoutUs, long holdsForUs,
             long idleCloseUs, int perLink) {}
 
--- a/decisions/src/main/java/willowfield/SettingsReader.java
+++ b/decisions/src/main/java/willowfield/SettingsReader.java
@@ -6,6 +6,8 @@
 
 /** Maps the settings object, as the bench and the platform both hand it over, to {@link Router.Settings}. */
 public final class SettingsReader {
+    private static final List<String> POSITION_AND_ROLE = List.of("x0", "x1");
+
     private SettingsReader() {}
 
     @SuppressWarnings("unchecked")
@@ -39,7 +41,7 @@
         Fields caps = o.object("caps");
         Fields rules = o.object("rules");
         Router.Limits limits = new Router.Limits((int) caps.whole("maxAttempts", 1, 1 << 20, 1),
-                caps.flag("probes"), caps.flag("cancel"), caps.flag("retryAfter"),
+                probes(caps, o), caps.flag("cancel"), caps.flag("retryAfter"),
                         caps.micros("maxRetryAfterS", 0),
                 o.has("membershipMode") && o.oneOf("membershipMode", "automatic", "subscribe") == 1,
                 rules.micros("askWithinS", 0), caps.micros("connectTimeoutS", 0), info.micros("holdsForS",
@@ -61,4 +63,16 @@
                         : Router.Marks.REMEMBERED,
                 info.flag("positions"), limits, r);
     }
+
+    /** What a probe tells of a member: where there are reports, what they hold. */
+    private static Router.Probes probes(Fields caps, Fields o) throws Malformed {
+        if (!caps.flag("probes")) {
+            return Router.Probes.NONE;
+        }
+        Fields stats = o.has("stats") ? o.object("stats") : null;
+        boolean told = stats != null && stats.has("names")
+                && stats.list("names").containsAll(POSITION_AND_ROLE)
+                && stats.oneOf("how", "silent", "piggyback", "pull") > 0;
+        return told ? Router.Probes.REPORT : Router.Probes.LIVENESS;
+    }
 }
--- a/decisions/src/test/java/example/Embedding.java
+++ b/decisions/src/test/java/example/Embedding.java
@@ -13,7 +13,7 @@
                 Router.Scope.GROUP, 0, 800_000, 200_000, 1_000_000, 1, 0);
         Router.Settings settings = new Router.Settings(1, 0, 0, 1_000, List.of(post, view),
                 Router.Checks.WAIT, Router.ListRole.LATE, Router.Marks.CARRIED, false,
-                new Router.Limits(8, true, true, true, 500_000, false, 0, 250_000, 50_000,
+                new Router.Limits(8, Router.Probes.REPORT, true, true, 500_000, false, 0, 250_000, 50_000,
                         30_000_000, 1),
                 new Router.Rules(20_000, 500_000, false, 0.15, 18_000_000, 3, 3_000_000));
         Router router = new Brain(settings, new Embedding());
--- a/decisions/src/test/java/frostreel/zones/ZoneAdviserTest.java
+++ b/decisions/src/test/java/frostreel/zones/ZoneAdviserTest.java
@@ -19,7 +19,8 @@
     private final Router.Settings settings = new Router.Settings(1, 0, 0, 1000,
             List.of(read("cheap", 2), read("dear", 1)), Router.Checks.REFUSE, Router.ListRole.LATE,
             Router.Marks.CARRIED, true,
-            new Router.Limits(10, true, true, true, SECOND, false, 0, 250_000, 50_000, 30 * SECOND, 1),
+            new Router.Limits(10, Router.Probes.REPORT, true, true, SECOND, false, 0,
+                    250_000, 50_000, 30 * SECOND, 1),
             new Router.Rules(20_000, SECOND, false, 0.2, 15 * SECOND, 3, 2 * SECOND));
     private final ZoneSettings zones = new ZoneSettings(0, List.of(new ZoneSettings.Tier(List.of(1), SPILL),
             new ZoneSettings.Tier(List.of(), SPILL)), 10);
--- a/decisions/src/test/java/willowfield/BrainTest.java
+++ b/decisions/src/test/java/willowfield/BrainTest.java
@@ -21,6 +21,8 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -89,10 +91,11 @@
         assertEquals("c", r.last("x").member());
     }
 
-    @Test
-    void withoutProbesTheWalkSendsOneHeldWrite() {
+    @ParameterizedTest
+    @EnumSource(value = Router.Probes.class, names = "REPORT", mode = EnumSource.Mode.EXCLUDE)
+    void withoutProbesThatTellRolesTheWalkSendsOneHeldWrite(Router.Probes probes) {
         Setup s = new Setup();
-        s.probes = false;
+        s.probes = probes;
         Recorder r = s.start(up("a", 0, true), up("b", 0, false), up("c", 1, false));
         r.ask("w", UNSAFE);
         for (int i = 0; i < 3; i++) {
--- a/decisions/src/test/java/willowfield/Recorder.java
+++ b/decisions/src/test/java/willowfield/Recorder.java
@@ -48,7 +48,7 @@
         Checks checks = Checks.SILENT;
         ListRole listRole = ListRole.LATE;
         Marks marks = Marks.CARRIED;
-        boolean probes = true;
+        Router.Probes probes = Router.Probes.REPORT;
         boolean cancel = true;
         boolean advice = true;
         boolean subscribe;
--- a/lab/src/main/java/frostreel/lab/processes/PlatformConfig.java
+++ b/lab/src/main/java/frostreel/lab/processes/PlatformConfig.java
@@ -39,7 +39,7 @@
                 .put("machineTypes", new JSONArray().put("m")).put("instances", s.instances())
                 .put("roundS", seconds(s.tickUs())).put("classes", classes)
                 .put("caps", new JSONObject().put("maxAttempts", limits.maxAttempts())
-                        .put("probes", limits.probes()).put("cancel", limits.cancel())
+                        .put("probes", limits.probes() != Router.Probes.NONE).put("cancel", limits.cancel())
                         .put("retryAfter", limits.retryAdvice())
                         .put("maxRetryAfterS", seconds(limits.maxAdviceUs()))
                         .put("connectTimeoutS", seconds(limits.connectTimeoutUs()))
--- a/lab/src/test/java/frostreel/lab/rules/RuleBookTest.java
+++ b/lab/src/test/java/frostreel/lab/rules/RuleBookTest.java
@@ -12,7 +12,8 @@
 
 /** Each checker convicts what breaks its rule, and nothing that keeps it. */
 class RuleBookTest {
-    private static final Router.Limits LIMITS = new Router.Limits(3, true, true, true, 2_000_000, false, 0,
+    private static final Router.Limits LIMITS = new Router.Limits(3, Router.Probes.REPORT, true, true,
+            2_000_000, false, 0,
             250_000,
             50_000, 30_000_000, 1);
     private static final Router.Rules FIGURES = new Router.Rules(20_000, 1_000_000, false, 0.22, 15_000_000,
--- a/lab/src/test/java/frostreel/lab/virtual/KnownSitesTest.java
+++ b/lab/src/test/java/frostreel/lab/virtual/KnownSitesTest.java
@@ -65,8 +65,8 @@
         assertThat(bsas.listRole()).isEqualTo(Router.ListRole.START);
         assertThat(bsas.marks()).isEqualTo(Router.Marks.REMEMBERED);
         assertThat(bsas.positions()).isTrue();
-        assertThat(bsas.limits()).isEqualTo(new Router.Limits(10, true, true, false, 500_000, false,
-                10_000_000, 250_000, 0, 15_000_000, 8));
+        assertThat(bsas.limits()).isEqualTo(new Router.Limits(10, Router.Probes.LIVENESS, true, false,
+                500_000, false, 10_000_000, 250_000, 0, 15_000_000, 8));
         assertThat(bsas.rules()).isEqualTo(new Router.Rules(20_000, 250_000, false, 0.16, 15_000_000, 2,
                 1_000_000));
     }
