Keep a group's long queries to the replica that is furthest behind

At fault: Brain.leisure only made the furthest replica cheaper; once its window was full, reports went to the others. lengthy() also measured by half a second, which fits both sites by luck; it is 4 times the mean work now.

Now a long query waits a quarter of its aim for the group's one replica for them (the furthest behind, kept until another is a second behind it, or it can't serve), then goes anywhere as before; short reads of any age leave a fifth of each replica's window to those that need it new. The test fails without it.

Flow and Goodput, sums without decisions, are classes of their own now.

--- a/decisions/src/main/java/willowfield/Brain.java
+++ b/decisions/src/main/java/willowfield/Brain.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
+import java.util.function.LongSupplier;
 
 /** Every decision of the query router; its interface, events in and actions out, is {@link Router}.
  *
@@ -31,9 +32,6 @@
     private static final double TARGET = 0.5; // Of an aim: a mean time beyond it only makes a queue.
     private static final double WAIT = 0.45; // Of its time, a read that nothing was sent for waits; ours.
     private static final double SPARED = 0.6; // Of a primary's window, for reads no replica can serve.
-    /** So many requests are let in for each that ends in time, and at most so many are refused for it. */
-    private static final double OVERRUN = 2, MOST_SHED = 0.9;
-    private static final double FEW = 1; // Requests of a group that weigh as much as all groups.
     private static final double MEAN = 0.15; // Weight of one more sample in a running mean.
     private static final double FAIL_COST = 12; // Times dearer when all attempts fail.
     private static final double EQUAL = 1.25; // Members this close in cost are equals, and rotate.
@@ -47,25 +45,14 @@
     private static final long LONG_AGO = Long.MIN_VALUE / 2;
     /** Requests a second that a cold member gets of all routers together before any knows what it can do. */
     private static final double FIRST_DOSE = 2;
+    private static final double LENGTHY = 4; // Times the mean work, that of a long query.
+    private static final double PATIENT = 0.25; // Of its aim, a long query waits for its one replica.
+    private static final double LEAVE = 0.8; // Of a replica's window, to short reads of any age.
     private static final double FULL = 0.9; // So much of its capacity in use, a member is busy enough.
     private static final double MOST_ROOM = 2; // A cold member's budget grows to so many of its share.
     private static final double LEAST_USE = 0.05; // Less than this in use tells nothing of a capacity.
     private static final String SWEEP = "sweep";
 
-    /** Work per time, over about twice the span of the rule on cold members. */
-    private final class Flow {
-        private double rate, since;
-
-        double at(long now) {
-            return rate * Math.exp(-(now - since) / (2.0 * set.rules().fallUs()));
-        }
-
-        void add(long now, double us) {
-            rate = at(now) + us / (2.0 * set.rules().fallUs());
-            since = now;
-        }
-    }
-
     /** A member of a group, with what answers, probes and the list have told of it. */
     private final class Node {
         final String id;
@@ -88,7 +75,7 @@
         long linkedAt, progressAt, markedAt, cutAt, budgetAt;
         double ratio = 1, fail, slowest, budget;
         double util = -1; // What of its present capacity is in use, by its last report; none yet.
-        final Flow served = new Flow(); // Work it served, and what it may still be sent while it is cold.
+        final Flow served = new Flow(spanUs); // Work it served; the budget is for while it is cold.
         /** How many attempts may be out to it at once, grown by answers in time and cut by trouble. */
         double window = FIRST_WINDOW;
         boolean opening = true;
@@ -107,11 +94,11 @@
         final ArrayList<Call> held = new ArrayList<>(), parked = new ArrayList<>();
         Node head;
         long headAt = -1; // When the head was last heard as primary, and whether by an answer.
-        Node start;
+        Node start, keeper; // Where its long queries go.
         boolean headAnswered, holding, doubted;
         long walkAt, canaryAt, probedAt;
         int walk, turn, sinceLink;
-        final Flow asked = new Flow(), useful = new Flow();
+        final Goodput goodput = new Goodput(spanUs);
 
         Group(int number) {
             this.number = number;
@@ -141,6 +128,8 @@
     }
 
     private Settings set;
+    /** Over about twice the span of the rule on cold members. */
+    private final LongSupplier spanUs = () -> 2 * set.rules().fallUs();
     private final Actions act;
     private final Adviser advice;
     private final Elsewhere elsewhere;
@@ -162,7 +151,7 @@
     /** The mean work of a request in microseconds, and when this router began. */
     private double work = Double.MAX_VALUE;
     private long beganUs;
-    private final Flow asked = new Flow(), useful = new Flow();
+    private final Goodput goodput = new Goodput(spanUs);
 
     public Brain(Settings settings, Actions actions) {
         this(settings, actions, new NearFirst(settings.zone()));
@@ -244,7 +233,7 @@
             n.fail = 0;
             n.ratio = 1;
             n.util = -1;
-            n.served.rate = 0; // What it served warm would make the share of the cold too large.
+            n.served.clear(); // What it served warm would make the share of the cold too large.
             n.budget = -draw.nextDouble() * work / 1e6;
             n.budgetAt = now;
         }
@@ -403,7 +392,8 @@
         Group g = groups.computeIfAbsent(q.group(), Group::new);
         Call c = new Call(q, g, now);
         calls.put(q.id(), c);
-        c.crowded = g.chain.stream().anyMatch(n -> n.window <= 1) && draw.nextDouble() < excess(now, g);
+        c.crowded = g.chain.stream().anyMatch(n -> n.window <= 1) && draw.nextDouble()
+                < g.goodput.excess(now, goodput);
         if (c.crowded) {
             giveUp(now, c);
         } else {
@@ -411,22 +401,10 @@
         }
     }
 
-    /** The share of requests to refuse at once: no window falls below one attempt, so hundreds of routers
-     * jam a member each at its least. Down to one useful in OVERRUN all are let in; what ends by an error or
-     * for want of a primary does not count, as refusing cures neither. A group's few weigh with all. */
-    private double excess(long now, Group g) {
-        double one = 1 / (2.0 * set.rules().fallUs());
-        double all = Math.max(0, asked.at(now) - OVERRUN * useful.at(now)) / (asked.at(now) + one);
-        double own = Math.max(0, g.asked.at(now) - OVERRUN * g.useful.at(now));
-        return Math.min(MOST_SHED, (own + all * FEW * one) / (g.asked.at(now) + FEW * one));
-    }
-
     private void conclude(long now, Call c, double worth) {
-        if (!c.ended && (worth > 0 || c.crowded)) {
-            asked.add(now, 1);
-            c.g.asked.add(now, 1);
-            useful.add(now, worth);
-            c.g.useful.add(now, worth);
+        if (!c.ended && (worth > 0 || c.crowded)) { // Refusing cures no error, and no want of a primary.
+            goodput.add(now, worth);
+            c.g.goodput.add(now, worth);
         }
         c.ended = true;
     }
@@ -598,10 +576,14 @@
         double bestCost = Double.MAX_VALUE;
         double askCost = Double.MAX_VALUE;
         boolean waits = false, denied = false;
+        boolean longer = lengthy(c);
+        double part = c.k.access() == Access.ANY && !longer ? LEAVE : 1;
+        Node only = longer && now - c.arrivedUs < PATIENT * c.k.aimUs() ? keeper(now, c) : null;
         int size = g.chain.size();
         for (int i = 0; i < size; i++) {
             Node n = g.chain.get((turnSeed + g.turn + i) % size);
-            if (n == g.head || !usable(n) || c.missed.contains(n) || stranger(now, n)) {
+            if (n == g.head || !usable(n) || c.missed.contains(n) || stranger(now, n)
+                    || only != null && n != only) {
                 continue;
             }
             double price = advice.price(now, n.seat);
@@ -612,7 +594,7 @@
                 continue;
             }
             boolean proven = n.position >= need || likely(now, n, need);
-            if (proven ? !room(now, n, 1) || !admits(now, n) : n.probing || !provable(now, n, need)) {
+            if (proven ? !room(now, n, part) || !admits(now, n) : n.probing || !provable(now, n, need)) {
                 waits = true;
                 continue;
             }
@@ -642,7 +624,8 @@
             park(c);
             return;
         }
-        if (g.head != null && !g.doubted && !c.missed.contains(g.head) && room(now, g.head, SPARED)
+        if (only == null && g.head != null && !g.doubted && !c.missed.contains(g.head)
+                && room(now, g.head, SPARED)
                 && advice.price(now, g.head.seat) < Double.POSITIVE_INFINITY
                 && advice.permits(now, g.head.seat, c.q.cls()) && send(now, c, g.head, readTimeout(now, c,
                         g.head))) {
@@ -667,7 +650,26 @@
 
     /** A long query that any member may answer: its own work, not a queue, makes its time. */
     private boolean lengthy(Call c) {
-        return c.k.access() == Access.ANY && expect[c.q.cls()] > WALK_US;
+        return c.k.access() == Access.ANY && expect[c.q.cls()] > LENGTHY * work;
+    }
+
+    /** The replica that a group's long queries keep to: one that holds any may apply nothing, so spread over
+     * all they would leave none that is new enough for other reads. The furthest behind, as routers agree on
+     * that one, and kept until another is well behind it or it can't serve. */
+    private Node keeper(long now, Call c) {
+        Node best = null;
+        double furthest = -1;
+        for (Node n : c.g.chain) {
+            double price = advice.price(now, n.seat);
+            if (n != c.g.head && usable(n) && n.known && !c.missed.contains(n) && now >= n.pausedUntil
+                    && !silent(now, n) && price < Double.POSITIVE_INFINITY) {
+                long behind = n.position == 0 ? 0 : now - n.position + (n == c.g.keeper ? 2 * WALK_US : 0);
+                best = behind / price > furthest ? n : best;
+                furthest = Math.max(furthest, behind / price);
+            }
+        }
+        c.g.keeper = best != null ? best : c.g.keeper;
+        return best;
     }
 
     /** A read that any member may answer leans to a replica that is behind and can serve little else, so that
--- a/decisions/src/test/java/willowfield/BrainTest.java
+++ b/decisions/src/test/java/willowfield/BrainTest.java
@@ -413,6 +413,37 @@
         assertEquals("a", r.last("q").member());
     }
 
+    /** A replica that holds a long query may apply nothing: spread over all, they would leave none new. */
+    @Test
+    void longQueriesKeepToTheReplicaThatIsFurthestBehind() {
+        Recorder r = trio();
+        for (int i = 0; i < 15; i++) {
+            r.ask("teach" + i, ANY);
+            Recorder.Sent s = r.last("teach" + i);
+            r.router.onOutcome(r.now, s.request(), s.attempt(), s.member(), Outcome.OK, true, 3_000_000,
+                    Role.REPLICA, r.now - 1_000, null);
+        }
+        for (int i = 0; i < 40; i++) {
+            r.ask("short" + i, SESSION);
+            r.end("short" + i, Outcome.OK, Role.REPLICA, r.now - 1_000);
+        }
+        r.pass(3_000_000);
+        r.probeOk("b", Role.REPLICA, r.now - 5_000);
+        long fresh = r.countTo("b");
+        for (int i = 0; r.last("wait") == null && i < 50; i++) {
+            r.ask("long" + i, ANY);
+            if (r.count("long" + i) == 0) {
+                r.ask("wait", ANY);
+                break;
+            }
+            assertEquals("c", r.last("long" + i).member());
+        }
+        assertEquals(0, r.count("wait"));
+        assertEquals(fresh, r.countTo("b"));
+        r.pass(200_000);
+        assertEquals(1, r.count("wait"), "it waits for a part of its aim only");
+    }
+
     /** Forgotten commits may not free a session to read what is older than its write. */
     @Test
     void commitsThatAreForgottenStillBind() {
