--- a/decisions/src/main/java/willowfield/Brain.java
+++ b/decisions/src/main/java/willowfield/Brain.java
@@ -2,12 +2,14 @@
 
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.SplittableRandom;
 import java.util.TreeMap;
 import java.util.function.LongSupplier;
+import java.util.stream.Stream;
 
 /** Every decision of the query router; its interface, events in and actions out, is {@link Router}.
  *
@@ -45,6 +47,8 @@
     private static final long LONG_AGO = Long.MIN_VALUE / 2;
     /** Requests a second that a cold member gets of all routers together before any knows what it can do. */
     private static final double FIRST_DOSE = 2;
+    /** Of clients' places: beyond it who waits longest makes room, as others come, on an upgrade to two. */
+    private static final double OPEN = 0.5;
     private static final double LENGTHY = 4; // Times the mean work, that of a long query.
     private static final double PATIENT = 0.25; // Of its aim, a long query waits for its one replica.
     private static final double LEAVE = 0.8; // Of a replica's window, to short reads of any age.
@@ -399,6 +403,14 @@
         } else {
             route(now, c);
         }
+        if (set.limits().places() > 0 && calls.size() > OPEN * set.limits().places()) {
+            waiting.values().stream().flatMap(w -> Stream.concat(w.held.stream(), w.parked.stream()))
+                    .min(Comparator.comparingLong(w -> w.arrivedUs)).ifPresent(oldest -> {
+                        oldest.g.held.remove(oldest);
+                        oldest.g.parked.remove(oldest);
+                        giveUp(now, oldest);
+                    });
+        }
     }
 
     private void conclude(long now, Call c, double worth) {
@@ -490,14 +502,6 @@
         return c.k.access() == Access.WRITE && set.marks() == Marks.REMEMBERED;
     }
 
-    /** A write ended: an answer told its commit, or it is in doubt, for all its time if it may run on. */
-    private void settle(long now, Call c, Outcome o, long positionUs) {
-        boolean told = o == Outcome.OK && positionUs > 0;
-        boolean runsOn = o == Outcome.TIMEOUT || o == Outcome.CANCELLED;
-        long doubt = told || o.provesNotRun ? 0 : runsOn ? Math.max(now, c.q.deadlineUs()) : now;
-        commits.ended(now, c.q.session(), told ? positionUs : 0, doubt, keepUs);
-    }
-
     private long need(long now, Call c) {
         return switch (c.k.access()) {
             case BOUNDED -> now - c.k.boundUs() + 2000;
@@ -805,7 +809,7 @@
         }
         noteRole(now, n, role, now, true);
         if (marks(c)) {
-            settle(now, c, o, positionUs);
+            commits.ended(now, c.q.session(), c.q.deadlineUs(), o, positionUs, keepUs);
         }
         if (o == Outcome.OK) {
             mark(now, n, tookUs / expect[c.q.cls()], false);
@@ -922,13 +926,6 @@
 
     // ---- Guards: the one place that sends, and the one that ends. ----
 
-    /** The part of its capacity that a member has at the least: cold when it starts, warm after a time. */
-    private double warmth(long now, Node n) {
-        double whole = set.rules().warmAfterUs();
-        double age = n.startedUs == 0 ? whole : Math.max(0, now - n.startedUs);
-        return age >= whole ? 1 : set.rules().coldFrom() + (1 - set.rules().coldFrom()) * age / whole;
-    }
-
     /** This router's part of what a warm member of that kind can do: work it has had served there a second,
      * over what of all their capacity is in use by their own word. That holds where none is warm and where
      * this router has just begun, as the share of a served load does not; without reports, it is that. Whose
@@ -937,7 +934,7 @@
         double did = 0, used = 0, told = 0, all = 0;
         for (Node o : nodes.values()) {
             if (o.kind == kind && usable(o)) {
-                double whole = warmth(now, o) * o.weight;
+                double whole = set.rules().warmth(now, o.startedUs) * o.weight;
                 did += o.served.at(now);
                 used += o.util > 0 ? o.util * whole : 0;
                 told += o.util > 0 ? whole : 0;
@@ -953,7 +950,7 @@
      * Served, not sent: a storm of turn-aways passes any capacity. Each of hundreds of routers may owe less
      * than one request: where each begins is drawn. */
     private boolean admits(long now, Node n) {
-        double warmth = warmth(now, n);
+        double warmth = set.rules().warmth(now, n.startedUs);
         if (warmth >= 1) {
             return true;
         }
--- a/decisions/src/main/java/willowfield/Router.java
+++ b/decisions/src/main/java/willowfield/Router.java
@@ -58,14 +58,38 @@
     record RequestClass(String name, Access access, Repeat repeat, Scope scope, long windowUs, long boundUs,
             long aimUs, long deadlineUs, double worth, double lateWorth) {}
 
-    /** What the deployment permits; an idle connection closes by itself, and carries so many at once. */
+    /**
+     * What the deployment permits; an idle connection closes by itself, and carries so many at once;
+     * {@code places}: how many requests clients may have open here at once, 0 where nothing bounds them.
+     */
     record Limits(int maxAttempts, Probes probes, boolean cancel, boolean retryAdvice, long maxAdviceUs,
             boolean subscribe, long askWithinUs, long connectTimeoutUs, long holdsForUs,
-            long idleCloseUs, int perLink) {}
+            long idleCloseUs, int perLink, int places) {
+        public Limits(int maxAttempts, Probes probes, boolean cancel, boolean retryAdvice, long maxAdviceUs,
+                boolean subscribe, long askWithinUs, long connectTimeoutUs, long holdsForUs,
+                long idleCloseUs, int perLink) {
+            this(maxAttempts, probes, cancel, retryAdvice, maxAdviceUs, subscribe, askWithinUs,
+                    connectTimeoutUs, holdsForUs, idleCloseUs, perLink, 0);
+        }
+
+        public Limits withPlaces(int n) {
+            return new Limits(maxAttempts, probes, cancel, retryAdvice, maxAdviceUs, subscribe, askWithinUs,
+                    connectTimeoutUs, holdsForUs, idleCloseUs, perLink, n);
+        }
+    }
 
     /** The figures of the rules. */
     record Rules(long answerSlackUs, long stopSendingUs, boolean onlyDrainingBinds, double coldFrom,
-            long warmAfterUs, double fallMultiple, long fallUs) {}
+            long warmAfterUs, double fallMultiple, long fallUs) {
+        /**
+         * The part of its capacity that a member has at the least: cold when it starts, warm after a time;
+         * {@code startedUs} is 0 for the distant past.
+         */
+        double warmth(long nowUs, long startedUs) {
+            double age = startedUs == 0 ? warmAfterUs : Math.max(0, nowUs - startedUs);
+            return age >= warmAfterUs ? 1 : coldFrom + (1 - coldFrom) * age / warmAfterUs;
+        }
+    }
 
     /** All that a router is told at its start; {@code instances}: how many there are, 0 where not told. */
     record Settings(long seed, int instances, int zone, long tickUs, List<RequestClass> classes,
@@ -74,10 +98,16 @@
         public Settings with(List<RequestClass> other, int maxAttempts) {
             Limits l = new Limits(maxAttempts, limits.probes, limits.cancel, limits.retryAdvice,
                     limits.maxAdviceUs, limits.subscribe, limits.askWithinUs, limits.connectTimeoutUs,
-                    limits.holdsForUs, limits.idleCloseUs, limits.perLink);
+                    limits.holdsForUs, limits.idleCloseUs, limits.perLink, limits.places);
             return new Settings(seed, instances, zone, tickUs, other, checks, listRole, marks, positions, l,
                     rules);
         }
+
+        /** The same but for the places of clients. */
+        public Settings withPlaces(int n) {
+            return new Settings(seed, instances, zone, tickUs, classes, checks, listRole, marks, positions,
+                    limits.withPlaces(n), rules);
+        }
     }
 
     /** A list entry; {@code startedUs} is 0 for the distant past. */
--- a/decisions/src/main/java/willowfield/SessionCommits.java
+++ b/decisions/src/main/java/willowfield/SessionCommits.java
@@ -46,15 +46,19 @@
     }
 
     /**
-     * A write that went out has ended: with its commit, or 0 where that was not told. {@code doubtUntilUs}:
-     * by when at the latest its server answered, or answers, something that is not known here; 0 for never.
+     * A write that went out has ended: with its commit, or 0 where that was not told. One that may have run,
+     * and has no commit, is in doubt: its server answered by now, or, where it may run on, answers by its
+     * deadline. What is not needed for so long is forgotten, and binds all.
      */
-    void ended(long now, long session, long commitUs, long doubtUntilUs, long keepUs) {
+    void ended(long now, long session, long deadlineUs, Router.Outcome outcome, long commitUs, long keepUs) {
         Mark m = marks.get(session);
         if (m != null) { // Else it was dropped for want of room, and binds all.
             m.out = Math.max(0, m.out - 1);
-            m.commitUs = Math.max(m.commitUs, commitUs);
-            m.doubtUntilUs = Math.max(m.doubtUntilUs, doubtUntilUs);
+            boolean told = outcome == Router.Outcome.OK && commitUs > 0;
+            boolean runsOn = outcome == Router.Outcome.TIMEOUT || outcome == Router.Outcome.CANCELLED;
+            m.commitUs = told ? Math.max(m.commitUs, commitUs) : m.commitUs;
+            m.doubtUntilUs = told || outcome.provesNotRun ? m.doubtUntilUs
+                    : Math.max(m.doubtUntilUs, runsOn ? Math.max(now, deadlineUs) : now);
         }
         for (Iterator<Mark> oldest = marks.values().iterator(); oldest.hasNext();) {
             Mark o = oldest.next();
--- a/decisions/src/test/java/willowfield/BrainTest.java
+++ b/decisions/src/test/java/willowfield/BrainTest.java
@@ -444,6 +444,23 @@
         assertEquals(1, r.count("wait"), "it waits for a part of its aim only");
     }
 
+    /** Each that waits holds a place that another cannot ask from; the longest has the least to gain. */
+    @Test
+    void beyondHalfOfClientsPlacesTheLongestWaitingMakesRoom() {
+        Setup s = new Setup();
+        s.places = 4;
+        Recorder r = s.start(up("a", 0, true), up("b", 0, false));
+        r.list(ListKind.CHANGES, with(up("a", 0, true), State.GONE, 0));
+        r.list(ListKind.CHANGES, with(up("b", 0, false), State.GONE, 0));
+        r.ask("first", KEYED);
+        r.pass(1_000);
+        r.ask("second", KEYED);
+        assertTrue(r.refused.isEmpty());
+        r.pass(1_000);
+        r.ask("third", KEYED);
+        assertEquals(List.of("first"), r.refused);
+    }
+
     /** Forgotten commits may not free a session to read what is older than its write. */
     @Test
     void commitsThatAreForgottenStillBind() {
--- a/decisions/src/test/java/willowfield/Recorder.java
+++ b/decisions/src/test/java/willowfield/Recorder.java
@@ -57,6 +57,7 @@
         long seed = 7;
         int zone;
         int instances;
+        int places;
 
         Recorder start(Member... members) {
             Recorder r = new Recorder();
@@ -76,7 +77,7 @@
                     kind("keyed anywhere", Access.WRITE, Repeat.KEYED, Scope.ALL, 0.5));
             return new Router.Settings(seed, instances, zone, 5_000, classes, checks, listRole, marks, true,
                     new Router.Limits(maxAttempts, probes, cancel, advice, 2_000_000, subscribe, 10_000_000,
-                            250_000, 50_000, 30_000_000, 1),
+                            250_000, 50_000, 30_000_000, 1, places),
                     new Router.Rules(20_000, 500_000, onlyDraining, 0.2, 18_000_000, 3, 2_000_000));
         }
 
--- a/decisions/src/test/java/willowfield/SessionCommitsTest.java
+++ b/decisions/src/test/java/willowfield/SessionCommitsTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import org.junit.jupiter.api.Test;
+import willowfield.Router.Outcome;
 
 /** What a session's reads must see of its writes, told or in doubt. */
 class SessionCommitsTest {
@@ -13,7 +14,7 @@
 
     @Test void aCommitThatWasToldBindsItsSessionAlone() {
         commits.sent(T, 1);
-        commits.ended(T + 50 * MS, 1, T + 40 * MS, 0, KEEP);
+        commits.ended(T + 50 * MS, 1, T + 3_000 * MS, Outcome.OK, T + 40 * MS, KEEP);
         assertThat(commits.need(T + 60 * MS, 1)).isEqualTo(T + 41 * MS);
         assertThat(commits.need(T + 60 * MS, 2)).isZero();
     }
@@ -22,32 +23,40 @@
         commits.sent(T, 1);
         assertThat(commits.need(T + 100 * MS, 1)).isZero();
         assertThat(commits.need(T + 150 * MS, 1)).isEqualTo(T + 50 * MS);
-        commits.ended(T + 200 * MS, 1, 0, 0, KEEP); // It is proven that it never ran.
+        commits.ended(T + 200 * MS, 1, T + 3_000 * MS, Outcome.MISS, 0, KEEP); // It never ran.
         assertThat(commits.need(T + 250 * MS, 1)).isZero();
     }
 
     @Test void ofTwoWritesAtOnceTheOldestBindsUntilBothHaveEnded() {
         commits.sent(T, 1);
         commits.sent(T + 500 * MS, 1);
-        commits.ended(T + 510 * MS, 1, 0, 0, KEEP);
+        commits.ended(T + 510 * MS, 1, T + 3_000 * MS, Outcome.FULL, 0, KEEP);
         assertThat(commits.need(T + 520 * MS, 1)).isEqualTo(T + 420 * MS);
-        commits.ended(T + 530 * MS, 1, T + 5 * MS, 0, KEEP);
+        commits.ended(T + 530 * MS, 1, T + 3_000 * MS, Outcome.OK, T + 5 * MS, KEEP);
         assertThat(commits.need(T + 540 * MS, 1)).isEqualTo(T + 6 * MS);
     }
 
     @Test void oneThatEndedInDoubtBindsToAllThatItsServerMayYetHaveAnswered() {
         commits.sent(T, 1);
-        commits.ended(T + 700 * MS, 1, 0, T + 3_000 * MS, KEEP);
+        commits.ended(T + 700 * MS, 1, T + 3_000 * MS, Outcome.TIMEOUT, 0, KEEP);
         assertThat(commits.need(T + 800 * MS, 1)).isEqualTo(T + 700 * MS);
         assertThat(commits.need(T + 2_000 * MS, 1)).isEqualTo(T + 1_900 * MS);
         assertThat(commits.need(T + 60_000 * MS, 1)).isEqualTo(T + 3_000 * MS);
     }
 
+    @Test void oneWhoseConnectionBrokeOrWhoseCommitWasNotToldWasAnsweredByThen() {
+        for (Outcome o : new Outcome[] {Outcome.RESET, Outcome.ERROR, Outcome.OK}) {
+            commits.sent(T, o.ordinal());
+            commits.ended(T + 700 * MS, o.ordinal(), T + 3_000 * MS, o, 0, KEEP);
+            assertThat(commits.need(T + 60_000 * MS, o.ordinal())).isEqualTo(T + 700 * MS);
+        }
+    }
+
     @Test void whatIsForgottenBindsEverySession() {
         commits.sent(T, 1);
-        commits.ended(T, 1, T - MS, 0, KEEP);
+        commits.ended(T, 1, T + MS, Outcome.OK, T - MS, KEEP);
         commits.sent(T + 2 * KEEP, 2);
-        commits.ended(T + 2 * KEEP, 2, T + 2 * KEEP, 0, KEEP);
+        commits.ended(T + 2 * KEEP, 2, T + 3 * KEEP, Outcome.OK, T + 2 * KEEP, KEEP);
         assertThat(commits.size()).isEqualTo(1);
         assertThat(commits.need(T + 2 * KEEP, 3)).isEqualTo(T - MS);
     }
@@ -56,7 +65,7 @@
         for (int i = 0; i <= SessionCommits.MOST + 1; i++) {
             commits.sent(T, i);
         }
-        commits.ended(T, 7, 0, 0, KEEP);
+        commits.ended(T, 7, T + MS, Outcome.MISS, 0, KEEP);
         assertThat(commits.size()).isLessThanOrEqualTo(SessionCommits.MOST);
         assertThat(commits.need(T + 500 * MS, 0)).isEqualTo(T + 500 * MS);
     }
