--- a/decisions/src/main/java/willowfield/Brain.java
+++ b/decisions/src/main/java/willowfield/Brain.java
@@ -47,8 +47,8 @@
     private static final long LONG_AGO = Long.MIN_VALUE / 2;
     /** Requests a second that a cold member gets of all routers together before any knows what it can do. */
     private static final double FIRST_DOSE = 2;
-    /** Of clients' places: beyond it who waits longest makes room, as others come, on an upgrade to two. */
-    private static final double OPEN = 0.5;
+    /** Of clients' places: beyond it who waits longest makes room; two processes of an upgrade share them. */
+    private static final double OPEN = 0.375;
     private static final double LENGTHY = 4; // Times the mean work, that of a long query.
     private static final double PATIENT = 0.25; // Of its aim, a long query waits for its one replica.
     private static final double LEAVE = 0.8; // Of a replica's window, to short reads of any age.
