--- /dev/null
+++ b/lab/src/test/java/frostreel/lab/virtual/KeptDrawsTest.java
@@ -0,0 +1,28 @@
+package frostreel.lab.virtual;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import org.json.JSONObject;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import willowfield.Malformed;
+
+/** Draws that once broke a rule, made small; each with ten seeds. */
+class KeptDrawsTest {
+    private static final int SEEDS = 10;
+
+    @ParameterizedTest @ValueSource(strings = "cold-one-server")
+    void theRulesHold(String name) throws IOException, Malformed {
+        try (InputStream in = KeptDrawsTest.class.getResourceAsStream("/draws/" + name + ".json")) {
+            JSONObject kept = new JSONObject(new String(in.readAllBytes(), StandardCharsets.UTF_8));
+            for (int seed = 1; seed <= SEEDS; seed++) {
+                World world = new Draw(new JSONObject(kept.toString()).put("seed", seed)).play();
+                assertThat(world.rules().rules()).as("seed %d", seed).allSatisfy(r -> assertThat(r.broken())
+                        .as("%s: %s", r.name(), r.convictions()).isZero());
+            }
+        }
+    }
+}
