Scale a restarted member's served work by its warmth; a share of nothing starved it

At fault: took what a restarted member had served for nothing, so where all of a kind are cold and the number of poolers is not told, share() and the first dose are both 0 for good. It is scaled by the warmth now: did over all is then what it was. KeptDrawsTest still passes.

--- a/decisions/src/main/java/willowfield/Brain.java
+++ b/decisions/src/main/java/willowfield/Brain.java
@@ -237,7 +237,7 @@
             n.fail = 0;
             n.ratio = 1;
             n.util = -1;
-            n.served.clear(); // What it served warm would make the share of the cold too large.
+            n.served.scale(set.rules().warmth(now, n.startedUs)); // As cold as it is now.
             n.budget = -draw.nextDouble() * work / 1e6;
             n.budgetAt = now;
         }
--- a/decisions/src/main/java/willowfield/Flow.java
+++ b/decisions/src/main/java/willowfield/Flow.java
@@ -22,8 +22,8 @@
         sinceUs = nowUs;
     }
 
-    /** Begins anew, from nothing. */
-    void clear() {
-        rate = 0;
+    /** Takes what was counted so far for so much of it. */
+    void scale(double by) {
+        rate *= by;
     }
 }
--- a/pooler/src/test/java/frostreel/ServingTest.java
+++ b/pooler/src/test/java/frostreel/ServingTest.java
@@ -228,6 +228,7 @@
     }
 
     @Test void atTheCapIdleClientsMakeRoomForNewOnes() throws Exception {
+        stage.allMayWait = true;
         start();
         try (Stage.Link leaver = stage.client()) {
             leaver.send(Stage.bytes('X', "")); // One that has left must not be taken for an idle one.
@@ -383,6 +384,7 @@
     }
 
     @Test void withNearlyAllPlacesTakenARequestIsRefusedAtOnce() throws Exception {
+        stage.allMayWait = true;
         replica.script = (text, link) -> { };
         primary.script = replica.script;
         start();
