Share out started members by slow start in least times, so that no draw pushes one over

Traces of each send to a started member showed four causes, all in Brain's share(), admits() and send(): - the budget was counted in mean times, which hold the queues: in deep overload a query of 25 ms counted as much as one of 700 ms, and a member that happened to get the long ones fell. The first dose is a core's worth by warmth instead of two requests a second whatever they cost.

--- a/decisions/src/main/java/willowfield/Brain.java
+++ b/decisions/src/main/java/willowfield/Brain.java
@@ -45,16 +45,12 @@
 
     private static final double CATCH_UP = 0.7; // Seconds, at the least, to make a second of the log up.
     private static final long LONG_AGO = Long.MIN_VALUE / 2;
-    /** Requests a second that a cold member gets of all routers together before any knows what it can do. */
-    private static final double FIRST_DOSE = 2;
     /** Of clients' places: beyond it who waits longest makes room; two processes of an upgrade share them. */
     private static final double OPEN = 0.375;
     private static final double LENGTHY = 4; // Times the mean work, that of a long query.
     private static final double PATIENT = 0.25; // Of its aim, a long query waits for its one replica.
     private static final double LEAVE = 0.8; // Of a replica's window, to short reads of any age.
-    private static final double FULL = 0.9; // So much of its capacity in use, a member is busy enough.
-    private static final double MOST_ROOM = 2; // A cold member's budget grows to so many of its share.
-    private static final double LEAST_USE = 0.05; // Less than this in use tells nothing of a capacity.
+    private static final double FULL = 0.9; // So much of its capacity in use, a primary is busy enough.
     private static final String SWEEP = "sweep";
 
     /** A member of a group, with what answers, probes and the list have told of it. */
@@ -66,7 +62,7 @@
         boolean drained;
         /** Listed from the start, or heard from: else it may be none of ours, whatever the list says. */
         boolean known;
-        long goneAt, startedUs;
+        long goneAt;
         double weight = 1;
         long position; // A time up to which it has applied every commit: a lower bound that stays true.
         /** When it last was known primary or replica; an answer's word counts from its arrival. */
@@ -76,19 +72,19 @@
         boolean probing;
         long askedAt = LONG_AGO;
         int out, links; // Attempts out, and connections held open as far as this router can tell.
-        long linkedAt, progressAt, markedAt, cutAt, budgetAt;
-        double ratio = 1, fail, slowest, budget;
-        double util = -1; // What of its present capacity is in use, by its last report; none yet.
-        final Flow served = new Flow(spanUs); // Work it served; the budget is for while it is cold.
+        long linkedAt, progressAt, markedAt, cutAt;
+        double ratio = 1, fail, slowest;
+        final SlowStart.Member start;
         /** How many attempts may be out to it at once, grown by answers in time and cut by trouble. */
         double window = FIRST_WINDOW;
         boolean opening = true;
         long pausedUntil; // Turned away as full: left alone until then, longer each time.
         int turnedAway;
 
-        Node(String named, Group in) {
+        Node(String named, Group in, long now) {
             id = named;
             group = in;
+            start = slow.meet(now);
         }
     }
 
@@ -119,7 +115,7 @@
         final ArrayList<Node> missed = new ArrayList<>(4);
         Node on;
         int attempts;
-        long sentAt, firstMaybe, notBefore, patienceUs;
+        long startedUs, sentAt, firstMaybe, notBefore, patienceUs;
         boolean mayHaveRun, parked, ended, crowded;
 
         Call(Request request, Group group, long now) {
@@ -134,6 +130,7 @@
     private Settings set;
     /** Over about twice the span of the rule on cold members. */
     private final LongSupplier spanUs = () -> 2 * set.rules().fallUs();
+    private final SlowStart slow;
     private final Actions act;
     private final Adviser advice;
     private final Elsewhere elsewhere;
@@ -152,9 +149,8 @@
     /** Where rotation begins: from the seed, so that routers do not all start at the same member. */
     private final int turnSeed;
     private final SplittableRandom draw;
-    /** The mean work of a request in microseconds, and when this router began. */
+    /** The mean work of a request in microseconds. */
     private double work = Double.MAX_VALUE;
-    private long beganUs;
     private final Goodput goodput = new Goodput(spanUs);
 
     public Brain(Settings settings, Actions actions) {
@@ -170,6 +166,7 @@
         advice = adviser;
         this.elsewhere = elsewhere;
         sweepUs = Math.max(settings.tickUs(), WALK_US / 50);
+        slow = new SlowStart(settings);
         onSettings(settings);
         work = Arrays.stream(expect).min().orElse(work);
         draw = new SplittableRandom(settings.seed());
@@ -185,6 +182,7 @@
             keepUs = Math.max(keepUs, KEEP * k.deadlineUs());
             expect[i] = i < known ? expect[i] : k.aimUs() / 5.0;
         }
+        slow.settings(settings);
         advice.settings(settings);
     }
 
@@ -192,7 +190,6 @@
 
     @Override public void onMembers(long now, ListKind kind, List<Member> members) {
         boolean first = !started;
-        beganUs = first ? now : beganUs;
         started = true;
         if (first && set.limits().subscribe()) {
             act.subscribe();
@@ -209,6 +206,7 @@
         for (Member m : members) {
             listed(now, m, first);
         }
+        nodes.values().forEach(n -> slow.usable(n.start, usable(n)));
         for (Group g : groups.values()) {
             g.chain.removeIf(n -> forgotten(now, n) && forget(n));
             if (g.head != null && !usable(g.head)) {
@@ -221,10 +219,10 @@
         Node n = nodes.get(m.id());
         if (n == null) {
             Group g = groups.computeIfAbsent(m.group(), Group::new);
-            n = new Node(m.id(), g);
+            n = new Node(m.id(), g, now);
             n.known = atStart;
             n.seat = advice.seat(m.group(), m.zone());
-            n.progressAt = n.markedAt = n.budgetAt = now;
+            n.progressAt = n.markedAt = now;
             nodes.put(m.id(), n);
             int at = 0;
             while (at < g.chain.size() && g.chain.get(at).id.compareTo(n.id) < 0) {
@@ -232,14 +230,9 @@
             }
             g.chain.add(at, n);
         }
-        if (m.startedUs() != n.startedUs) {
-            n.startedUs = m.startedUs();
+        if (slow.listed(now, n.start, m)) {
             n.fail = 0;
             n.ratio = 1;
-            n.util = -1;
-            n.served.scale(set.rules().warmth(now, n.startedUs)); // As cold as it is now.
-            n.budget = -draw.nextDouble() * work / 1e6;
-            n.budgetAt = now;
         }
         n.zone = m.zone();
         n.kind = m.kind();
@@ -263,6 +256,7 @@
 
     private boolean forget(Node n) {
         advice.left(n.seat);
+        slow.forget(n.start);
         return nodes.remove(n.id, n);
     }
 
@@ -378,7 +372,7 @@
     }
 
     private void learnReport(long now, Node n, Report r) {
-        n.util = r.util() >= 0 ? Math.max(r.util(), LEAST_USE) : n.util; // NaN where it is not told.
+        slow.reported(n.start, r.util());
         if (r.positionUs() > 0) {
             n.position = Math.max(n.position, r.positionUs());
             n.reportAt = now;
@@ -486,7 +480,7 @@
     /** A primary that says it is busy is not silent: the same write again would only add to its work. */
     private long writeTimeout(long now, Call c, Node n) {
         long left = c.q.deadlineUs() - now;
-        if (c.k.repeat() == Repeat.UNSAFE || n.util >= FULL) {
+        if (c.k.repeat() == Repeat.UNSAFE || slow.util(n.start) >= FULL) {
             return left;
         }
         long t = (long) Math.max(c.k.aimUs(), SILENCE * expected(c, n, now));
@@ -598,7 +592,7 @@
                 continue;
             }
             boolean proven = n.position >= need || likely(now, n, need);
-            if (proven ? !room(now, n, part) || !admits(now, n) : n.probing || !provable(now, n, need)) {
+            if (proven ? !room(now, n, part) || !slow.admits(now, n.start, c.q.cls()) : n.probing || !provable(now, n, need)) {
                 waits = true;
                 continue;
             }
@@ -817,7 +811,7 @@
             if (n == g.head) {
                 g.doubted = false;
             }
-            n.served.add(now, expect[c.q.cls()]);
+            slow.served(now, n.start, c.q.cls(), tookUs);
             if (tookUs > c.k.aimUs() || !lengthy(c) && expected(c, n, now) > TARGET * c.k.aimUs()) {
                 narrow(now, n, expect[c.q.cls()]);
             } else {
@@ -926,57 +920,34 @@
 
     // ---- Guards: the one place that sends, and the one that ends. ----
 
-    /** This router's part of what a warm member of that kind can do: work it has had served there a second,
-     * over what of all their capacity is in use by their own word. That holds where none is warm and where
-     * this router has just begun, as the share of a served load does not; without reports, it is that. Whose
-     * use is not told has the others'. */
-    private double share(long now, int kind) {
-        double did = 0, used = 0, told = 0, all = 0;
-        for (Node o : nodes.values()) {
-            if (o.kind == kind && usable(o)) {
-                double whole = set.rules().warmth(now, o.startedUs) * o.weight;
-                did += o.served.at(now);
-                used += o.util > 0 ? o.util * whole : 0;
-                told += o.util > 0 ? whole : 0;
-                all += whole;
-            }
-        }
-        double begun = -Math.expm1((beganUs - now - 1) / (2.0 * set.rules().fallUs()));
-        return did / begun / (told > 0 ? used * all / told : all);
-    }
-
-    /** Whether a just-started member may be given more: this router's part of the least that it can do now,
-     * more where it says that it has room, and a first dose from all together before any has had much served.
-     * Served, not sent: a storm of turn-aways passes any capacity. Each of hundreds of routers may owe less
-     * than one request: where each begins is drawn. */
-    private boolean admits(long now, Node n) {
-        double warmth = set.rules().warmth(now, n.startedUs);
-        if (warmth >= 1) {
-            return true;
-        }
-        double room = n.util > 0 ? Math.max(1, Math.min(FULL / n.util, MOST_ROOM)) : 1;
-        double perSecond = Math.max(share(now, n.kind) * warmth * n.weight * room,
-                set.instances() > 0 ? FIRST_DOSE * work / 1e6 / set.instances() : 0);
-        n.budget = Math.min(Math.max(perSecond * set.rules().fallUs() / 2e6, work / 1e6),
-                n.budget + perSecond * (now - n.budgetAt) / 1e6);
-        n.budgetAt = now;
-        return n.budget > 0;
-    }
-
     /** Whether it is new enough for a read, by its own word; one last heard as primary is excused. */
     private boolean fresh(long now, Call c, Node n) {
         return set.checks() != Checks.SILENT || c.k.access() == Access.WRITE || n.primaryAt > n.replicaAt
                 || n.position >= need(now, c);
     }
 
+    /** Also whether its member was told to have started meanwhile: then it goes as one that is sent now. */
     @Override public boolean stands(long now, String requestId) {
         Call c = calls.get(requestId);
-        return c == null || c.on == null || fresh(now, c, c.on);
+        if (c == null || c.on == null || c.startedUs == c.on.start.startedUs()) {
+            return c == null || c.on == null || fresh(now, c, c.on);
+        }
+        boolean stands = fresh(now, c, c.on) && slow.admits(now, c.on.start, c.q.cls());
+        if (stands) {
+            pay(c);
+        }
+        return stands;
+    }
+
+    private void pay(Call c) {
+        slow.sent(c.on.start, c.q.cls());
+        c.startedUs = c.on.start.startedUs();
     }
 
     /** The send gate: draining, group, attempts, deadline, repeats, freshness, cold members are held here. */
     private boolean send(long now, Call c, Node n, long timeoutUs) {
-        if (c.ended || c.on != null || !usable(n) || n.group != c.g || spent(now, c) || !admits(now, n)) {
+        if (c.ended || c.on != null || !usable(n) || n.group != c.g || spent(now, c)
+                || !slow.admits(now, n.start, c.q.cls())) {
             return false;
         }
         if (!fresh(now, c, n)) {
@@ -995,12 +966,12 @@
         n.linkedAt = now;
         n.out++;
         n.slowest = Math.max(n.slowest, Math.max(effort, expected(c, n, now)));
-        n.budget -= effort / 1e6;
         if (!c.toHead) {
             advice.sent(now, n.seat, c.q.cls(), effort);
         }
         c.on = n;
         c.sentAt = now;
+        pay(c);
         c.attempts++;
         act.send(c.q.id(), n.id, Math.max(1, Math.min(timeoutUs, c.q.deadlineUs() - now)));
         return true;
--- a/decisions/src/test/java/willowfield/BrainTest.java
+++ b/decisions/src/test/java/willowfield/BrainTest.java
@@ -413,6 +413,19 @@
         assertEquals("a", r.last("q").member());
     }
 
+    /** Its budget was another when it was chosen: connections to one that comes back come up all at once. */
+    @Test
+    void whatWaitsForItsConnectionIsSentToAMemberThatStartedMeanwhileOnlyAsOneOfItsFirst() {
+        Recorder r = new Setup().start(up("a", 0, true), up("b", 0, false));
+        r.probeOk("b", Role.REPLICA, r.now);
+        r.ask("q", ANY);
+        assertEquals("b", r.last("q").member());
+        r.router.onMembers(r.now, ListKind.CHANGES, List.of(with(up("b", 0, false), State.UP, r.now)));
+        assertEquals(false, r.router.stands(r.now, "q"));
+        r.end("q", Outcome.MOOT);
+        assertEquals("a", r.last("q").member());
+    }
+
     /** A replica that holds a long query may apply nothing: spread over all, they would leave none new. */
     @Test
     void longQueriesKeepToTheReplicaThatIsFurthestBehind() {
