Let the lab lose commits with their primary where settings do not make writes wait

No run of the lab could show a commit that no member has any more: Cluster.elect made whoever had most of the log a primary that stands at the present, as if it had every commit, whatever familyInfo.commitWaits says. Where that is false (new figure of Physics, read by Draw; true where it is not stated, so draws and the processes' lab are as before), a member that takes over from a dead primary (Server.succeed) has the log as far as it had applied it, tells that end as its position until it commits something, and what was committed later is lost; the old primary comes back as a replica that follows. A handover loses nothing.

What a session's read is owed after that stands at VirtualPooler.commit: data up to the lost commit all the same. The stale-read rule is not touched. Positions still never go back, as between the end of the log and the new primary's first commit there is nothing to apply.

--- a/lab/src/main/java/frostreel/lab/model/Cluster.java
+++ b/lab/src/main/java/frostreel/lab/model/Cluster.java
@@ -1,14 +1,25 @@
 package frostreel.lab.model;
 
+import java.util.ArrayList;
 import java.util.Collection;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
 import willowfield.Router;
 
-/** Groups of servers over zones: who leads, who has the log, and what befalls them. It knows no pooler. */
+/**
+ * Groups of servers over zones: who leads, who has the log, and what befalls them. It knows no pooler.
+ *
+ * <p>Positions are times up to which a server has every commit that there still is. Where commits do not wait
+ * for a replica, who takes over from a primary that is gone has the log as far as it had applied it; what was
+ * committed later is lost, and an old primary that comes back has dropped it too. So no position ever goes
+ * back: between the end of that log and its new primary's first commit there is nothing to be applied. A
+ * primary that hands over loses nothing.
+ */
 public final class Cluster {
     private static final long WITHIN_US = 250;
     private static final long BETWEEN_US = 1_500;
@@ -24,6 +35,8 @@
     private final int groups;
     private final Links links;
     private final Map<String, Server> servers = new LinkedHashMap<>();
+    /** Commits that were answered and that no member has any more, of each group. */
+    private final List<Set<Long>> lost = new ArrayList<>();
 
     /**
      * Each zone has one member of each group; {@code changed} hears of each server that the list has news of.
@@ -42,6 +55,7 @@
         this.changed = changed;
         links = new Links(zones, WITHIN_US, BETWEEN_US);
         for (int g = 0; g < groups; g++) {
+            lost.add(new HashSet<>());
             for (int m = 0; m < zones * members; m++) {
                 String id = String.format("g%03d-%08x", g, chance.nextInt());
                 Server s = new Server(kernel, physics, id, m % zones, g, cores, 1);
@@ -68,6 +82,16 @@
         return servers.values().stream().filter(s -> s.zone == zone).toList();
     }
 
+    /** Whether a group's commit was answered and is gone with its primary. */
+    public boolean lost(int group, long commitUs) {
+        return lost.get(group).contains(commitUs);
+    }
+
+    /** How many such there are. */
+    public int lost() {
+        return lost.stream().mapToInt(Set::size).sum();
+    }
+
     private List<Server> group(int group) {
         return servers.values().stream().filter(s -> s.group == group).toList();
     }
@@ -151,7 +175,9 @@
             if (best == null) {
                 elect(group);
             } else {
-                lead(best);
+                group(group).forEach(s -> lost.get(group).addAll(s.lose(best.applied())));
+                best.succeed();
+                tell(best);
             }
         });
     }
@@ -168,7 +194,11 @@
 
     private void lead(Server s) {
         s.promote(true);
-        feed(s.group);
-        changed.accept(s);
+        tell(s);
+    }
+
+    private void tell(Server primary) {
+        feed(primary.group);
+        changed.accept(primary);
     }
 }
--- a/lab/src/main/java/frostreel/lab/model/Physics.java
+++ b/lab/src/main/java/frostreel/lab/model/Physics.java
@@ -11,9 +11,11 @@
  *     its capacity are N such, it falls beyond N and two roots of N and two; 0 for a fall beyond N
  * @param cancels whether work that its sender gives up stops, once it runs
  * @param replayRate seconds of the log that a replica applies in a second, over 1 where it can catch up
+ * @param commitsWait whether a write is answered only once a replica has it, so that none is lost
  */
 public record Physics(double coldFrom, long warmAfterUs, double fallMultiple, long fallUs, long logDelayUs,
-        double replayRate, int queue, double toldShare, double slackUs, boolean cancels) {
+        double replayRate, int queue, double toldShare, double slackUs, boolean cancels,
+        boolean commitsWait) {
     public static final Physics USUAL = new Physics(0.22, 15_000_000, 3, 2_000_000, 8_000, 1.8, 64,
-            0, 0, true);
+            0, 0, true, true);
 }
--- a/lab/src/main/java/frostreel/lab/model/Server.java
+++ b/lab/src/main/java/frostreel/lab/model/Server.java
@@ -3,6 +3,8 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.NavigableSet;
+import java.util.TreeSet;
 import willowfield.Router.Outcome;
 import willowfield.Router.Role;
 
@@ -74,6 +76,10 @@
     private long appliedUs;
     private long appliedAtUs;
     private boolean fed = true;
+    /** The commits that it answered, where they may be lost with it. */
+    private final TreeSet<Long> commits = new TreeSet<>();
+    /** Where its log ended when it took over from one that was gone, until it commits something; or -1. */
+    private long inheritedUs = -1;
     /** Work sent while cold, within the rule's window. */
     private final ArrayDeque<Sent> sent = new ArrayDeque<>();
     private double sentWork;
@@ -179,10 +185,31 @@
         appliedUs = applied();
         appliedAtUs = kernel.now();
         primary = isPrimary;
+        inheritedUs = -1;
         ledSinceUs = isPrimary ? kernel.now() : ledSinceUs;
     }
 
-    /** A time up to which it has applied every commit. */
+    /** It takes over from a primary that is gone, and has no more than it has applied. */
+    public void succeed() {
+        long end = applied();
+        promote(true);
+        inheritedUs = physics.commitsWait() ? -1 : end;
+    }
+
+    /** Forgets the commits after that, and returns them: the log goes on without them. */
+    List<Long> lose(long afterUs) {
+        NavigableSet<Long> later = commits.tailSet(afterUs, false);
+        List<Long> lost = List.copyOf(later);
+        later.clear();
+        return lost;
+    }
+
+    /** What it tells of how far it is; a primary that inherited its log knows of nothing beyond its end. */
+    public long position() {
+        return inheritedUs >= 0 ? inheritedUs : applied();
+    }
+
+    /** A time up to which it has applied every commit that there still is. */
     public long applied() {
         long now = kernel.now();
         if (primary) {
@@ -213,6 +240,7 @@
         applied();
         up = false;
         primary = false;
+        inheritedUs = -1;
         inWork.forEach(job -> job.over = true);
         queue.forEach(job -> job.over = true);
         inWork.clear();
@@ -355,7 +383,13 @@
 
     private void end(Job job, Outcome outcome) {
         job.over = true;
-        job.done.ended(outcome, role(), applied(), util());
+        if (outcome == Outcome.OK && job.write) {
+            inheritedUs = -1;
+            if (!physics.commitsWait()) {
+                commits.add(applied());
+            }
+        }
+        job.done.ended(outcome, role(), position(), util());
     }
 
     public Role role() {
--- a/lab/src/main/java/frostreel/lab/virtual/VirtualPooler.java
+++ b/lab/src/main/java/frostreel/lab/virtual/VirtualPooler.java
@@ -124,7 +124,12 @@
         broker.members(kind, members);
     }
 
-    /** The last commit of a session's writes that it answered, 0 for none. */
+    /**
+     * The last commit of a session's writes that it answered, 0 for none. A read of the session is owed
+     * data up to there, also where that commit was lost with its primary, as nobody is told so: a replica may
+     * answer only from beyond it. The new primary may, from its first moment on, whatever position it
+     * tells, as a primary is the newest there is; one that leads no more may not, once it has said so.
+     */
     long commit(long session) {
         return commits.getOrDefault(session, 0L);
     }
@@ -305,7 +310,7 @@
         kernel.after(connectTimeoutUs, () -> finish(a, Result.of(Outcome.TIMEOUT)));
         connect(a, () -> {
             Server s = a.server;
-            Result report = new Result(Outcome.OK, Role.UNKNOWN, 0, report(s.role(), s.applied(), s.util()),
+            Result report = new Result(Outcome.OK, Role.UNKNOWN, 0, report(s.role(), s.position(), s.util()),
                     null);
             hand(s, new Server.Job(PROBE_WORK_US, false, 0, knowsStart(s),
                     (outcome, role, positionUs, util) -> { }));
--- a/lab/src/main/java/frostreel/lab/virtual/World.java
+++ b/lab/src/main/java/frostreel/lab/virtual/World.java
@@ -48,6 +48,14 @@
     /** What each pooler is asked, as a multiple of the mean. */
     private final double[] asked;
     private long ids;
+    private final List<LostRead> lostReads = new ArrayList<>();
+
+    /**
+     * A read of a session whose last commit, of those that its pooler answered, is gone with its primary.
+     *
+     * @param ledUs how long the group had a primary again when it was asked
+     */
+    record LostRead(int session, long ledUs, Answer answer) {}
 
     public World(Plan plan, BiFunction<Router.Settings, Router.Actions, Router> maker) {
         this.plan = plan;
@@ -240,6 +248,8 @@
         boolean reads = c.access() == Router.Access.SESSION;
         long seesUs = reads ? wroteUs : c.access() == Router.Access.FRESH ? now : 0;
         rules.asked(now, t.pooler.number, id, c, deadlineUs);
+        boolean isLost = reads && !carried && cluster.lost(t.group, wroteUs);
+        long ledUs = isLost ? ledUs(t.group) : 0;
         t.pooler.submit(new Broker.Ask(id, t.cls, t.session, t.group, deadlineUs,
                 reads && carried && wroteUs > 0 ? now - wroteUs : 0, again),
                 new VirtualPooler.Order(id, t.workUs, c.access() == Router.Access.WRITE, t.session,
@@ -247,7 +257,7 @@
                 new Caller() {
                     @Override public void served(byte[] answer) {
                         tally.served++;
-                        rules.answered(kernel.now(), t.pooler.number, id, Answer.SERVED);
+                        answered(Answer.SERVED);
                         long took = kernel.now() - t.askedUs;
                         tally.got(t.second, t.pooler.zone, t.cls,
                                 c.worth() * (took <= c.aimUs() ? 1 : c.lateWorth()));
@@ -258,7 +268,7 @@
 
                     @Override public void refused(long adviceUs) {
                         tally.refused++;
-                        rules.answered(kernel.now(), t.pooler.number, id, Answer.REFUSED);
+                        answered(Answer.REFUSED);
                         if (t.mayRetry && !again) {
                             tally.retries++;
                             kernel.after(Math.max(adviceUs, 50_000), () -> comeBack(t));
@@ -267,7 +277,14 @@
 
                     @Override public void failed() {
                         tally.failed++;
-                        rules.answered(kernel.now(), t.pooler.number, id, Answer.FAILED);
+                        answered(Answer.FAILED);
+                    }
+
+                    private void answered(Answer answer) {
+                        rules.answered(kernel.now(), t.pooler.number, id, answer);
+                        if (isLost) {
+                            lostReads.add(new LostRead(t.session, ledUs, answer));
+                        }
                     }
 
                     @Override public void cancelled() {
@@ -280,6 +297,12 @@
                 });
     }
 
+    /** For how long a group has had its primary, 0 where it has none. */
+    private long ledUs(int group) {
+        return cluster.all().stream().filter(s -> s.group == group && s.primary())
+                .mapToLong(s -> kernel.now() - s.ledSinceUs()).findFirst().orElse(0);
+    }
+
     private void comeBack(Try t) {
         VirtualPooler p = taker(t.pooler.number);
         if (p != null) {
@@ -331,6 +354,11 @@
         return poolers.stream().mapToLong(p -> p.counters.strayExceptions).sum();
     }
 
+    /** In the order of their answers. */
+    List<LostRead> lostReads() {
+        return lostReads;
+    }
+
     /** Cores' worth of work that all servers together can do now. */
     double capacity() {
         return cluster.all().stream().filter(Server::up).mapToDouble(Server::capacity).sum();
--- a/lab/src/test/java/frostreel/lab/model/ServerTest.java
+++ b/lab/src/test/java/frostreel/lab/model/ServerTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
 import willowfield.Router.Outcome;
 
@@ -61,6 +62,32 @@
         assertThat(server.applied()).isEqualTo(kernel.now());
     }
 
+    @Test void whoSucceedsTellsTheEndOfItsLogAndWhoIsSucceededLosesWhatCameLater() {
+        Physics u = Physics.USUAL;
+        Physics lossy = new Physics(u.coldFrom(), u.warmAfterUs(), u.fallMultiple(), u.fallUs(),
+                u.logDelayUs(), u.replayRate(), u.queue(), u.toldShare(), u.slackUs(), u.cancels(),
+                false);
+        Cluster cluster = new Cluster(kernel, new SplittableRandom(1), lossy, 1, 2, 1, 2, s -> { });
+        Server old = cluster.all().stream().filter(Server::primary).findFirst().orElseThrow();
+        Server next = cluster.all().stream().filter(s -> s != old).findFirst().orElseThrow();
+        next.replayAt(0);
+        long appliedUs = next.applied();
+        old.arrive(job("w", 1000, true, 0));
+        kernel.runUntil(START_US + 2_000);
+        cluster.vanish(old);
+        kernel.runUntil(START_US + 7_000_000);
+        assertThat(next.primary()).isTrue();
+        assertThat(next.position()).isEqualTo(appliedUs);
+        assertThat(cluster.lost(0, START_US + 1_000)).isTrue();
+        cluster.start(old);
+        assertThat(old.primary()).isFalse();
+        next.arrive(job("w2", 1000, true, 0));
+        kernel.runUntil(START_US + 20_000_000);
+        assertThat(next.position()).isEqualTo(kernel.now());
+        assertThat(old.position()).as("it follows").isEqualTo(kernel.now() - lossy.logDelayUs());
+        assertThat(cluster.lost()).isEqualTo(1);
+    }
+
     @Test void aColdServerIsSlowThenWarmAndFallsWhenPushed() {
         server.crash();
         server.start();
--- a/lab/src/test/java/frostreel/lab/virtual/Draw.java
+++ b/lab/src/test/java/frostreel/lab/virtual/Draw.java
@@ -53,9 +53,11 @@
             all.add(new Plan.Kind(s.classes().get(i), kinds.getJSONObject(i).getDouble("share") / shares,
                     0.7 * workUs, 1.3 * workUs));
         }
+        boolean commitsWait = json.getJSONObject("settings").getJSONObject("familyInfo")
+                .optBoolean("commitWaits", true);
         Physics physics = new Physics(r.coldFrom(), r.warmAfterUs(), r.fallMultiple(), r.fallUs(),
                 us(fleet, "logDelayS"), fleet.getDouble("replay"), fleet.getInt("queue"), 2 / 3.0,
-                fleet.optBoolean("chance") ? meanUs : 0, fleet.getBoolean("cancels"));
+                fleet.optBoolean("chance") ? meanUs : 0, fleet.getBoolean("cancels"), commitsWait);
         Set<String> reports = new HashSet<>();
         json.getJSONObject("settings").getJSONObject("stats").getJSONArray("names")
                 .forEach(name -> reports.add((String) name));
--- a/lab/src/test/java/frostreel/lab/virtual/KnownSitesTest.java
+++ b/lab/src/test/java/frostreel/lab/virtual/KnownSitesTest.java
@@ -18,13 +18,13 @@
 class KnownSitesTest {
     private static final int SEEDS = 20;
 
-    private static JSONObject settings(String site) throws IOException {
+    static JSONObject settings(String site) throws IOException {
         try (InputStream in = KnownSitesTest.class.getResourceAsStream("/sites/" + site + ".json")) {
             return new JSONObject(new String(in.readAllBytes(), StandardCharsets.UTF_8));
         }
     }
 
-    private static Draw draw(JSONObject settings, int poolers, double load, long seed, JSONObject... events) {
+    static Draw draw(JSONObject settings, int poolers, double load, long seed, JSONObject... events) {
         JSONArray kinds = new JSONArray("""
                 [{"share":42,"workMs":57},{"share":34,"workMs":57},{"share":2,"workMs":570},
                 {"share":22,"workMs":57}]""");
@@ -36,12 +36,12 @@
                 .put("fleet", fleet).put("seed", seed).put("events", new JSONArray(List.of(events))));
     }
 
-    private static JSONObject event(String kind, double atS, double lenS, double part, double size) {
+    static JSONObject event(String kind, double atS, double lenS, double part, double size) {
         return new JSONObject().put("kind", kind).put("atS", atS).put("lenS", lenS).put("part", part)
                 .put("from", 0).put("size", size);
     }
 
-    private static void keepsTheRules(World world) {
+    static void keepsTheRules(World world) {
         assertThat(world.rules().rules()).allSatisfy(r -> assertThat(r.broken()).as("%s: %s", r.name(),
                 r.convictions()).isZero());
         assertThat(world.strayExceptions()).isZero();
