Hold that a shared folder which takes nothing more leaves the program as with no folder

A hard case without a test. The commits' file (65,608 bytes, written whole before it has its name) is made by a process that may write no file beyond ulimit -f 40, its own limit, set by its shell: the write fails as on a full disk, with EFBIG for ENOSPC. It serves, reads of any session go to the primary, the log says once "commits of other processes are not known: java.io.IOException: File too large", nothing half made is left, and the next process makes the file. For orders: the file that is written before it has its name is a link to /dev/full, so ENOSPC comes from the system. What had been kept before is still read, and the next writing goes through.

Shown to fail: - Beside.Joined.of, 0 for BLIND after the failure: BesideTest (lab), the first read comes from the replica - CommitFile.fresh without deleteIfExists: a commits...new is left - Beside.Joined.of without warn: no such log line - OrderFolder.write, the file before deleted first: OrderFolderTest, nothing is read where an order was

--- a/lab/src/test/java/frostreel/lab/processes/BesideTest.java
+++ b/lab/src/test/java/frostreel/lab/processes/BesideTest.java
@@ -17,6 +17,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.stream.Stream;
 import org.json.JSONArray;
 import org.json.JSONObject;
 import org.junit.jupiter.api.AfterEach;
@@ -120,18 +121,25 @@
         final ProcessHandle process;
         final Socket client;
         final DataInputStream in;
+        final Path log = dir.resolve(open.size() + ".log");
         private int asked;
 
         Life() throws IOException {
+            this("exec \"$@\"");
+        }
+
+        /** The shell's line has the program's command as its words. */
+        Life(String line) throws IOException {
             open.add(0, this::end);
             Path config = Files.writeString(dir.resolve("pooler.json"), new JSONObject(CONFIG)
                     .put("known", new JSONObject(Map.of("seq", 1, "whole", true, "hosts", hosts)))
                     .toString());
             InetSocketAddress control = PoolerProcess.free(InetAddress.getByName("127.0.0.1"));
-            process = socket.start(List.of(ProcessHandle.current().info().command().orElseThrow(), "-jar",
+            process = socket.start(List.of("/bin/sh", "-c", line, "sh",
+                    ProcessHandle.current().info().command().orElseThrow(), "-jar",
                     PROGRAM.toString(), "serve"), Map.of("GW_CONFIG", config.toString(), "GW_FD", "0",
                     "GW_CONTROL", PoolerProcess.text(control), "TMPDIR", dir.toString()),
-                    dir.resolve(open.size() + ".log"));
+                    log);
             client = new Socket(socket.address().getAddress(), socket.address().getPort());
             in = new DataInputStream(client.getInputStream());
             client.getOutputStream().write(Messages.startup());
@@ -195,4 +203,19 @@
         }
         assertThat(after.look("7f3c")).as("in hand at its end").isEqualTo("primary");
     }
+
+    /** The system ends each writing to a file beyond that size as it does on a disk that is full. */
+    @Test void whereTheFileCannotBeMadeAsLargeAsNeededItServesAsWithNoFolder() throws Exception {
+        Life full = new Life("ulimit -f 40; exec \"$@\"");
+        assertThat(full.look("aaaa")).as("anyone's commits may be the other's").isEqualTo("primary");
+        full.post("7f3a");
+        assertThat(full.answer()).isEqualTo("primary");
+        assertThat(full.look("7f3a")).isEqualTo("primary");
+        assertThat(Files.readString(full.log)).containsOnlyOnce(
+                "commits of other processes are not known: java.io.IOException: File too large");
+        try (Stream<Path> left = Files.list(dir.resolve("frostreel-orders"))) {
+            assertThat(left).as("nothing half made is left").isEmpty();
+        }
+        assertThat(new Life().look("aaaa")).as("the next one has room").isEqualTo("replica");
+    }
 }
--- a/pooler/src/test/java/frostreel/control/OrderFolderTest.java
+++ b/pooler/src/test/java/frostreel/control/OrderFolderTest.java
@@ -67,6 +67,19 @@
         assertThatThrownBy(() -> life("one").read()).isInstanceOf(IOException.class);
     }
 
+    /** A link to the device that takes no byte, where the file is written before it has its name. */
+    @Test void aDiskThatIsFullFailsAndLeavesWhatWasThere() throws Exception {
+        OrderFolder one = life("one");
+        one.write(OUT);
+        Path half = Files.createSymbolicLink(dir.resolve("orders/one.new"), Path.of("/dev/full"));
+        assertThatThrownBy(() -> one.write(Map.of())).isInstanceOf(IOException.class)
+                .hasMessageContaining("No space left");
+        assertThat(life("two").read()).isEqualTo(OUT);
+        Files.delete(half);
+        one.write(Map.of());
+        assertThat(life("three").read()).as("room again").isEmpty();
+    }
+
     @Test void filesOfManyLivesDoNotPileUp() throws Exception {
         for (int i = 0; i < 40; i++) {
             life("life" + i).write(OUT);
