Hold what does hold beside a process from before there was the commits' file

Such a process never looks at the file, and nothing tells the new one that it is there: with no file in the folder the new one makes it and takes itself for the first. Held, and tested now: orders go both ways beside the file, the old one's clearing of the folder leaves it alone, and from the new one on each life knows what the others answered. Not held, as REMAINS.md says: what goes through the old one.

--- /dev/null
+++ b/pooler/src/test/java/frostreel/control/BeforeCommitsTest.java
@@ -0,0 +1,61 @@
+package frostreel.control;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import frostreel.operation.CommitBoard;
+import frostreel.operation.Orders;
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import willowfield.Router.Outcome;
+
+/**
+ * A process from before there was the commits' file serves in the same folder. Held: its orders and the
+ * successor's go both ways as ever, and from the successor on each life knows what the lives since answered.
+ * Not held: what goes through the old one itself (docs/REMAINS.md).
+ */
+class BeforeCommitsTest {
+    private static final long NOW = 1_000_000_000;
+    private static final Map<String, Orders.Order> OUT = Map.of("server a", new Orders.Order(true, 5, 5));
+    private static final Map<String, Orders.Order> BACK = Map.of("server a", new Orders.Order(false, 5, 9));
+    @TempDir Path dir;
+
+    private CommitBoard board(long life) throws IOException {
+        CommitFile file = CommitFile.open(dir);
+        assertThat(file.replaced()).isNull();
+        return new CommitBoard(file, life, NOW);
+    }
+
+    @Test void ordersGoBothWaysBesideTheFileAndTheOldOneDoesNotClearItAway() throws Exception {
+        OrderFolder old = new OrderFolder(dir, "old");
+        old.write(OUT);
+        CommitBoard successor = board(1);
+        OrderFolder orders = new OrderFolder(dir, "new");
+        assertThat(orders.read()).isEqualTo(OUT);
+        orders.write(BACK);
+        assertThat(old.read()).isEqualTo(BACK);
+        for (int i = 0; i < 40; i++) {
+            new OrderFolder(dir, "life" + i).write(OUT);
+        }
+        successor.sent(NOW, 7, NOW + 1_000_000);
+        successor.ended(NOW, 7, NOW + 1_000_000, Outcome.OK, NOW);
+        old.clean();
+        assertThat(Files.size(dir.resolve(CommitFile.NAME))).isEqualTo((1 + CommitBoard.LONGS) * Long.BYTES);
+        assertThat(board(2).boundUs(NOW + 50_000, 7)).isEqualTo(NOW + 1_000);
+    }
+
+    @Test void fromTheSuccessorOnEachLifeKnowsWhatTheOthersAnswered() throws Exception {
+        new OrderFolder(dir, "old").write(OUT);
+        CommitBoard successor = board(1);
+        successor.sent(NOW, 7, NOW + 1_000_000);
+        successor.ended(NOW, 7, NOW + 1_000_000, Outcome.OK, NOW + 2_000);
+        CommitBoard third = board(2);
+        third.sent(NOW, 8, NOW + 1_000_000);
+        third.ended(NOW, 8, NOW + 1_000_000, Outcome.OK, NOW + 4_000);
+        assertThat(third.boundUs(NOW + 50_000, 7)).isEqualTo(NOW + 3_000);
+        assertThat(successor.boundUs(NOW + 50_000, 8)).isEqualTo(NOW + 5_000);
+    }
+}
