Excuse only the head from the proof of its position; another's word as primary deposes it

A read that waited for its connection to a primary still stood after another member had answered as primary: Brain.fresh asked whether the member itself had last been heard as primary (primaryAt > replicaAt), and nobody had heard it say replica. Two do not lead at once, and the later word is the truer. It has to be the group's head now, too. PromotionTest.deposedByAnothersWordItIsExcusedNoMore failed before.

--- a/decisions/src/main/java/willowfield/Brain.java
+++ b/decisions/src/main/java/willowfield/Brain.java
@@ -920,10 +920,11 @@
 
     // ---- Guards: the one place that sends, and the one that ends. ----
 
-    /** Whether it is new enough for a read, by its own word; one last heard as primary is excused. */
+    /** Whether it is new enough for a read, by its own word; the head is excused until it is heard as a
+     * replica, or another as primary. */
     private boolean fresh(long now, Call c, Node n) {
-        return set.checks() != Checks.SILENT || c.k.access() == Access.WRITE || n.primaryAt > n.replicaAt
-                || n.position >= need(now, c);
+        return set.checks() != Checks.SILENT || c.k.access() == Access.WRITE || n.position >= need(now, c)
+                || n == n.group.head && n.primaryAt > n.replicaAt;
     }
 
     /** Also whether its member was told to have started meanwhile: then it goes as one that is sent now. */
--- a/decisions/src/test/java/willowfield/PromotionTest.java
+++ b/decisions/src/test/java/willowfield/PromotionTest.java
@@ -124,4 +124,16 @@
         r.pass(20_000);
         assertThat(r.last("while none leads")).isNull();
     }
+
+    /** Nobody has heard b say so, but two do not lead at once, and c's word is the later one. */
+    @Test void deposedByAnothersWordItIsExcusedNoMore() {
+        promoteB();
+        assertThat(read("waits for its connection")).isEqualTo("b");
+        write("cut off");
+        r.end("cut off", Outcome.CONNECT_FAILED);
+        r.pass(1_000);
+        assertThat(r.last("cut off").member()).isEqualTo("c");
+        r.end("cut off", Outcome.OK, Role.PRIMARY, r.now);
+        assertThat(r.router.stands(r.now, "waits for its connection")).isFalse();
+    }
 }
