Let both servers send long rows in the test of memory, as reads go to either

LongValuesTest.moreAtOnceThanMemoryHoldsWaitsWithItsServers failed once on a busy machine: a row of 22 bytes where 15,728,650 were expected. That is the length of the primary's short answer: by reading, a request that comes while the replica's window is full goes to the primary, which is right. The test is of memory, not of routing; all twenty rows are long now whoever serves them, and what it asserts is as before. Its class passed after the change (7 tests); the failure was not brought about on purpose.

--- a/pooler/src/test/java/frostreel/LongValuesTest.java
+++ b/pooler/src/test/java/frostreel/LongValuesTest.java
@@ -218,6 +218,7 @@
             }
             link.send(TAIL);
         };
+        primary.script = replica.script; // While the replica's window is full, reads go there.
         ProcessBuilder builder = new ProcessBuilder(ProcessHandle.current().info().command().orElseThrow(),
                 "-Xmx32m", "-XX:+ExitOnOutOfMemoryError", "-cp", System.getProperty("java.class.path"),
                 "frostreel.cli.Main", "serve").redirectErrorStream(true);
