Answer a request left open within the slack that the settings allow, not after 15 ms

Cause: `Broker.OVERDUE_US` was 15 ms whatever `rules.answerSlackS` says. Both sites have 0.02 s, so it fitted by chance; with a slack of less than 15 ms, a request that the module left unanswered was answered too late, and so counted as lost. At fault: `Broker.submit` and the constant. It is 0.75 of the settings' slack now, 15 ms at both sites as before; each request keeps the slack of the settings that it came with, those after a SIGHUP have the new one. Checked: BrokerTest, on a clock that the test moves. With the mend taken out both of its tests fail (slack 0 and 4 ms: nothing was answered when it was due). Ruled out by reading: no other line of the program uses the constant, and `Pooler.settings` hands the broker the whole new rules at once.

--- a/pooler/src/main/java/frostreel/broker/Broker.java
+++ b/pooler/src/main/java/frostreel/broker/Broker.java
@@ -60,8 +60,11 @@
         }
     }
 
-    /** After its deadline by so much, a request that the module left unanswered is answered here. */
-    private static final long OVERDUE_US = 15_000;
+    /**
+     * After its deadline by this share of the slack that the rules leave an answer, a request that the module
+     * left unanswered is answered here; the rest is for the answer's way.
+     */
+    private static final double OVERDUE_SHARE = 0.75;
     private static final Logger LOG = Logger.getLogger(Broker.class.getName());
     private final Clock clock;
     private final Deadlines deadlines;
@@ -149,7 +152,8 @@
         }
         ids.add(ask.id());
         r.id = Long.toString(r.handle);
-        r.overdue = deadlines.at(ask.deadlineUs() + OVERDUE_US, () -> event(() -> overdue(r)));
+        r.overdue = deadlines.at(ask.deadlineUs() + (long) (settings.rules().answerSlackUs() * OVERDUE_SHARE),
+                () -> event(() -> overdue(r)));
         event(() -> router.onRequest(clock.now(), new Router.Request(r.id, ask.cls(), ask.session(),
                 ask.group(),
                 ask.deadlineUs(), ask.sinceWriteUs(), ask.repeated())));
--- /dev/null
+++ b/pooler/src/test/java/frostreel/broker/BrokerTest.java
@@ -0,0 +1,120 @@
+package frostreel.broker;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import frostreel.stats.Counters;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import willowfield.Router;
+
+/** What the broker sees to by itself where the decision module does nothing, on a clock that tests move. */
+class BrokerTest {
+    private static final long DEADLINE_US = 1_000_000;
+    private long nowUs;
+    private final Deadlines deadlines = new Deadlines(() -> nowUs, us -> { });
+    private final List<String> failed = new ArrayList<>();
+
+    private static Router.Settings settings(long answerSlackUs) {
+        Router.RequestClass read = new Router.RequestClass("look", Router.Access.ANY, Router.Repeat.SAFE,
+                Router.Scope.GROUP, 0, 0, DEADLINE_US, DEADLINE_US, 1, 0);
+        return new Router.Settings(1, 1, 0, 5_000, List.of(read), Router.Checks.WAIT, Router.ListRole.LATE,
+                Router.Marks.CARRIED, true, new Router.Limits(4, Router.Probes.NONE, true, true, 0, false, 0,
+                        0, 0, 0, 1),
+                new Router.Rules(answerSlackUs, 1_000_000, false, 1, 0, 1, 0));
+    }
+
+    /** By a module that leaves every request unanswered. */
+    private Broker broker(Router.Settings settings) {
+        Broker broker = new Broker(() -> nowUs, deadlines, new Counters(), null, settings, 16,
+                (told, actions) -> new Idle());
+        broker.members(Router.ListKind.FULL, List.of(new Router.Member("a", 0, 0, 2, true, Router.State.UP,
+                1, 0)));
+        return broker;
+    }
+
+    private void ask(Broker broker, String id) {
+        broker.submit(new Broker.Ask(id, 0, 0, 2, DEADLINE_US, 0, false), patienceUs -> new byte[0],
+                new Waiting(id));
+    }
+
+    private void at(long us) {
+        nowUs = us;
+        deadlines.runDue();
+    }
+
+    @Test void aRequestLeftUnansweredFailsWithinTheSlackThatItsSettingsAllow() {
+        for (long slackUs : new long[] {0, 4_000, 20_000, 100_000}) {
+            failed.clear();
+            nowUs = 0;
+            ask(broker(settings(slackUs)), "1");
+            long dueUs = DEADLINE_US + slackUs * 3 / 4;
+            at(dueUs - 1);
+            assertThat(failed).as("slack %d", slackUs).isEmpty();
+            at(dueUs);
+            assertThat(failed).as("slack %d", slackUs).containsExactly("1");
+        }
+    }
+
+    @Test void newSettingsBindTheSlackOfRequestsThatComeAfterThem() {
+        Broker broker = broker(settings(20_000));
+        ask(broker, "before");
+        broker.settings(settings(4_000));
+        ask(broker, "after");
+        at(DEADLINE_US + 3_000);
+        assertThat(failed).containsExactly("after");
+        at(DEADLINE_US + 14_999);
+        assertThat(failed).containsExactly("after");
+        at(DEADLINE_US + 15_000);
+        assertThat(failed).containsExactly("after", "before");
+    }
+
+    private final class Waiting implements Caller {
+        private final String id;
+
+        Waiting(String id) {
+            this.id = id;
+        }
+
+        @Override public void served(byte[] answer) {
+            throw new AssertionError(id);
+        }
+
+        @Override public void refused(long adviceUs) {
+            throw new AssertionError(id);
+        }
+
+        @Override public void failed() {
+            failed.add(id);
+        }
+
+        @Override public void cancelled() {
+            throw new AssertionError(id);
+        }
+
+        @Override public boolean waits() {
+            return true;
+        }
+    }
+
+    private static final class Idle implements Router {
+        @Override public void onSettings(Settings settings) {}
+
+        @Override public void onRequest(long nowUs, Request request) {}
+
+        @Override public void onOutcome(long nowUs, String requestId, int attempt, String memberId,
+                Outcome outcome, boolean closed, long tookUs, Role role, long positionUs, Report report) {}
+
+        @Override public boolean stands(long nowUs, String requestId) {
+            return true;
+        }
+
+        @Override public void onMembers(long nowUs, ListKind kind, List<Member> members) {}
+
+        @Override public void onProbe(long nowUs, String memberId, boolean ok, long tookUs, Report report) {}
+
+        @Override public void onTimer(long nowUs, String name) {}
+
+        @Override public void onClientGone(long nowUs, String requestId) {}
+    }
+}
