Tell a client that finds no place when to come back only as the settings allow

The module's own refusals (`Brain.giveUp`) obey both. At fault: `answer(refusal(CROWDED_ADVICE_US))`. The constant is called by the field's word, Retry-After. Checked: CrowdedTest, three tests; with the mend taken out two fail (200 ms told where none, or 120 ms, may be). Ruled out by reading: the other refusals on sockets are the module's, or carry 0 (`Broker.submit`).

--- a/pooler/src/main/java/frostreel/broker/Broker.java
+++ b/pooler/src/main/java/frostreel/broker/Broker.java
@@ -133,6 +133,12 @@
         event(() -> router.onSettings(settings));
     }
 
+    /** When to come back, as a refusal may tell it: the settings' most at most, 0 where they allow none. */
+    public long retryAfterUs(long us) {
+        Router.Limits limits = settings.limits();
+        return limits.retryAdvice() ? Math.min(us, limits.maxAdviceUs()) : 0;
+    }
+
     /** Whether a request of that name is open, or an attempt of it still out: another would be a second. */
     public boolean holds(String id) {
         return ids.contains(id);
--- a/pooler/src/main/java/frostreel/net/ClientConnection.java
+++ b/pooler/src/main/java/frostreel/net/ClientConnection.java
@@ -41,8 +41,8 @@
     private static final int DROPPED_BYTES = 1 << 20;
     /** A reader of an answer that takes nothing of it for so long holds its place for nothing. */
     private static final long STILL_US = 30_000_000;
-    /** When to come back after a refusal for want of a place. */
-    private static final long CROWDED_ADVICE_US = 200_000;
+    /** When to come back after a refusal for want of a place, where the settings allow to tell so much. */
+    private static final long CROWDED_RETRY_AFTER_US = 200_000;
     /** Between the client's sending, from which its patience counts, and our reading, and back again. */
     private static final long TRANSIT_US = 4_000;
     private final Loop loop;
@@ -304,7 +304,7 @@
         faults = 0;
         if (listener.full()) {
             loop.counters().crowdedOut++;
-            answer(refusal(CROWDED_ADVICE_US));
+            answer(refusal(listener.broker().retryAfterUs(CROWDED_RETRY_AFTER_US)));
             return;
         }
         long now = loop.clock().now();
--- /dev/null
+++ b/pooler/src/test/java/frostreel/CrowdedTest.java
@@ -0,0 +1,63 @@
+package frostreel;
+
+import static frostreel.Stage.look;
+import static frostreel.Stage.query;
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** What a request that finds nearly all places taken is told of when to come back, as the settings allow. */
+class CrowdedTest extends Story {
+    private final List<Stage.Link> clients = new ArrayList<>();
+
+    /** The answer to one that comes when the others hold all places but the last. */
+    private String refusal() throws Exception {
+        stage.allMayWait = true;
+        replica.script = (text, link) -> { };
+        primary.script = replica.script;
+        start();
+        int busy = Stage.MAX_CLIENTS - 16;
+        for (int i = 0; i < busy; i++) {
+            clients.add(stage.client());
+            clients.get(i).send(query(look("c" + i, 9000)));
+        }
+        stage.shows("requests=" + busy);
+        clients.add(stage.client());
+        return nextRefusal("last");
+    }
+
+    private String nextRefusal(String id) throws Exception {
+        List<String> answer = clients.get(clients.size() - 1).ask(look(id, 9000));
+        assertThat(answer).singleElement().asString().contains("|C53300|");
+        return answer.get(0);
+    }
+
+    private void leave() throws Exception {
+        for (Stage.Link c : clients) {
+            c.close();
+        }
+    }
+
+    @Test void itIsTheUsualTimeWhereThatIsAllowed() throws Exception {
+        assertThat(refusal()).contains("|D200|");
+        leave();
+    }
+
+    @Test void itIsNoLongerThanTheSettingsAllow() throws Exception {
+        stage.settings = Stage.SETTINGS.replace("\"maxRetryAfterS\":2", "\"maxRetryAfterS\":0.12");
+        assertThat(refusal()).contains("|D120|");
+        leave();
+    }
+
+    @Test void itIsNothingWhereTheSettingsAllowNoneAndNewSettingsCountAtOnce() throws Exception {
+        stage.settings = Stage.SETTINGS.replace("\"retryAfter\":true", "\"retryAfter\":false");
+        assertThat(refusal()).doesNotContain("|D");
+        stage.settings = Stage.SETTINGS;
+        stage.hangUp(stage.discovery);
+        stage.shows("reloads=1");
+        assertThat(nextRefusal("next")).contains("|D200|");
+        leave();
+    }
+}
