Read discovery before all else as often as the rule on drains asks, not after 0.2 s

At fault: `SILENCE_US`, and `lastUs`, which was the last event and not the last look. Now, before an event is handled, discovery is read where the last look is more than a fifth of `stopSendingWithinS` ago: 0.2 s and 0.05 s, at least 10 ms. What was told is known a fifth of the rule later at the latest, in a long turn too; the rest is for a pause between look and send. SIGHUP changes it at once. `BEAT_US` and `LATE_US` stay: they cut requests' time, a look does not. Ruled out: a first form of the DiscoveryTest, one request and no connection at rest, passed without the mend, as what waits for a connection is withdrawn when the list comes.

--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -113,7 +113,8 @@
         }
         known = config.known();
         watch = watch(config, known.hosts().isEmpty() ? -1 : known.seq());
-        loop.onAwakening(this::readNews);
+        loop.onNews(this::readNews);
+        loop.stopSendingUs(config.settings().rules().stopSendingUs());
         loop.thread().execute(() -> start(config));
     }
 
@@ -205,6 +206,7 @@
         attempts = Math.min(attempts, whole.limits().maxAttempts());
         broker.settings(settings.with(classes.all(), attempts));
         door.longest(longest(settings));
+        loop.stopSendingUs(settings.rules().stopSendingUs());
         int change = ++changes;
         loop.deadlines().after(ClassTable.CHANGE_US, () -> {
             if (change == changes) {
--- a/pooler/src/main/java/frostreel/net/Loop.java
+++ b/pooler/src/main/java/frostreel/net/Loop.java
@@ -19,8 +19,12 @@
     private static final int READ_BYTES = 1 << 16;
     /** A fourth of the heap: the rest is for statements, short answers, tables, and the collector. */
     private static final long MOST_HELD = Runtime.getRuntime().maxMemory() / 4;
-    /** A part of the second that the rule on drains allows; more often, a look for news costs too much. */
-    private static final long SILENCE_US = 200_000;
+    /**
+     * What discovery tells is looked for once in such a part of the time in which sends to a drained server
+     * have to stop: the rest is for a pause between the look and a send. More often, a look costs too much.
+     */
+    private static final int LOOK_PART = 5;
+    private static final long LOOK_LEAST_US = 10_000;
     /**
      * The loop shows so often that it runs, and is late where it was not seen to for so long: a little less
      * than the half second by which an answer may be late. A process that has part of a core is often kept
@@ -30,21 +34,30 @@
     private static final long LATE_US = 2 * BEAT_US;
     private final XnioWorker worker;
     private final XnioIoThread thread;
-    private final Clock clock = Clock.system();
-    private final Deadlines deadlines = new Deadlines(clock, this::wakeAfter);
+    private final Clock clock;
+    private final Deadlines deadlines;
     private final Counters counters = new Counters();
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BYTES);
     private XnioExecutor.Key alarm;
     private boolean ending;
-    private Runnable awoken = () -> { };
+    private Runnable look = () -> { };
     private LongConsumer beaten = nowUs -> { };
-    private long lastUs = clock.now();
+    private long lookEveryUs;
+    private long lookedUs;
     private long heldBytes;
-    private long beatUs = lastUs;
+    private long beatUs;
     /** While the loop catches up: since when what it reads may have waited; else {@code Long.MAX_VALUE}. */
     private long lateSinceUs = Long.MAX_VALUE;
 
     public Loop() throws IOException {
+        this(Clock.system());
+    }
+
+    Loop(Clock clock) throws IOException {
+        this.clock = clock;
+        deadlines = new Deadlines(clock, this::wakeAfter);
+        lookedUs = clock.now();
+        beatUs = lookedUs;
         worker = Xnio.getInstance().createWorker(OptionMap.builder().set(Options.WORKER_IO_THREADS, 1)
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
                 .set(Options.WORKER_NAME, "frostreel").getMap());
@@ -65,20 +78,26 @@
         }, us, TimeUnit.MICROSECONDS);
     }
 
-    /** What runs first of all after a silence. */
-    public void onAwakening(Runnable first) {
-        awoken = first;
+    /** What looks for news: what this process was told, and has yet to read. */
+    public void onNews(Runnable look) {
+        this.look = look;
+    }
+
+    /** How soon sends to a server have to stop from when discovery told of its drain. */
+    public void stopSendingUs(long us) {
+        lookEveryUs = Math.max(LOOK_LEAST_US, us / LOOK_PART);
     }
 
     /**
-     * Called before whatever comes from outside is handled. A process that was paused, or had no part of a
-     * core, finds much at once: what it was told meanwhile has to be known before the rest is acted upon.
+     * Called before whatever comes from outside is handled. A process that was paused, had no part of a core,
+     * or is in a long turn, finds much at once: what it was told meanwhile has to be known before the rest is
+     * acted upon, in whichever order it stands on the sockets.
      */
     void awake() {
-        long silentSinceUs = lastUs;
-        lastUs = clock.now();
-        if (lastUs - silentSinceUs > SILENCE_US) {
-            awoken.run();
+        long now = clock.now();
+        if (now - lookedUs > lookEveryUs) {
+            lookedUs = now;
+            look.run();
         }
     }
 
--- a/pooler/src/test/java/frostreel/DiscoveryTest.java
+++ b/pooler/src/test/java/frostreel/DiscoveryTest.java
@@ -4,11 +4,14 @@
 import static frostreel.Stage.http;
 import static frostreel.Stage.list;
 import static frostreel.Stage.look;
+import static frostreel.Stage.query;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.Test;
 
@@ -158,4 +161,49 @@
             assertThat(value(c.ask(look("3", 9000)))).isEqualTo("from-primary");
         }
     }
+
+    private static final String STOP_SOON = Stage.SETTINGS.replace("\"stopSendingWithinS\":1",
+            "\"stopSendingWithinS\":0.25");
+
+    /** The requests of many clients and the list are found in one turn, in an order that nobody chooses. */
+    private void aShortPauseHidesNothingThatWasTold() throws Exception {
+        CountDownLatch written = new CountDownLatch(1);
+        List<Stage.Link> clients = new ArrayList<>();
+        for (int i = 0; i < Stage.MOST_WAITING; i++) {
+            clients.add(stage.client());
+        }
+        // A connection rests open there, on which the next could go at once.
+        assertThat(value(clients.get(0).ask(look("first", 9000)))).isEqualTo("from-replica");
+        stage.whileItStandsStill(() -> {
+            long since = System.nanoTime();
+            for (Stage.Link c : clients) {
+                c.send(query(look("q" + clients.indexOf(c), 9000)));
+            }
+            deeds.add((text, link) -> {
+                link.send(http(told(2, "Terminating")));
+                written.countDown();
+            });
+            written.await();
+            Stage.pass(since, 100); // Two fifths of the rule.
+        });
+        for (Stage.Link c : clients) {
+            assertThat(value(c.takeAnswer())).isEqualTo("from-primary");
+            c.close();
+        }
+        assertThat(replica.heard).hasSize(1);
+    }
+
+    @Test void afterAPauseThatIsShortButLongForTheRuleWhatWasToldGoesFirst() throws Exception {
+        stage.settings = STOP_SOON;
+        play();
+        aShortPauseHidesNothingThatWasTold();
+    }
+
+    @Test void newSettingsSayWhatALongPauseIs() throws Exception {
+        play();
+        stage.settings = STOP_SOON;
+        stage.hangUp(stage.discovery);
+        stage.shows("reloads=1");
+        aShortPauseHidesNothingThatWasTold();
+    }
 }
