Round timers up to whole milliseconds: rows of near ones kept all sockets unread

Cause, by reading and a test: XNIO's executeAfter drops what is beyond whole milliseconds and runs a timer that is less than one away at once, in the same turn (WorkerThread.executeAfter: toMillis, then execute). Loop.wakeAfter handed it microseconds: a deadline 0.9 ms away found nothing due, was set anew at once, and so on until it was due; the thread was busy meanwhile, and as the queue of tasks is emptied before each look at sockets, it read none. Where each deadline is followed by another within a millisecond, as with many open requests, that has no end.

Test: 2,000 timers in a row, each 0.5 ms after the one before, beside a socket with a byte to read. Before: the byte is read after none of them (fails after 1.4 s). After: read within the row.

--- a/pooler/src/main/java/frostreel/net/Loop.java
+++ b/pooler/src/main/java/frostreel/net/Loop.java
@@ -75,7 +75,16 @@
             alarm = null;
             awake();
             deadlines.runDue();
-        }, us, TimeUnit.MICROSECONDS);
+        }, wholeMillis(us), TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Never less than what is asked for: XNIO drops what is beyond whole milliseconds, and runs a timer that
+     * is less than one away at once. It would find nothing due and be set anew, over and over until it is
+     * due; meanwhile the thread is busy, and looks at no socket.
+     */
+    private static long wholeMillis(long us) {
+        return (us + 999) / 1000;
     }
 
     /** What looks for news: what this process was told, and has yet to read. */
--- /dev/null
+++ b/pooler/src/test/java/frostreel/net/LoopTimersTest.java
@@ -0,0 +1,66 @@
+package frostreel.net;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.ByteBuffer;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.xnio.OptionMap;
+import org.xnio.StreamConnection;
+import org.xnio.channels.AcceptingChannel;
+
+/** Timers beside sockets, on the one thread. */
+class LoopTimersTest {
+    /** So often a timer is set again that is due in less than a millisecond. */
+    private static final int TIMES = 2_000;
+    private final CompletableFuture<Boolean> readInTime = new CompletableFuture<>();
+    private Loop loop;
+    private boolean read;
+
+    private void again(int left) {
+        if (read || left == 0) {
+            readInTime.complete(read);
+        } else {
+            loop.deadlines().after(500, () -> again(left - 1));
+        }
+    }
+
+    private void accept(AcceptingChannel<StreamConnection> from) {
+        try {
+            Stream stream = new Stream(loop, from.accept(), new Stream.Handler() {
+                @Override public void received(ByteBuffer in) {
+                    in.position(in.limit());
+                    read = true;
+                }
+
+                @Override public void ended() {
+                    readInTime.completeExceptionally(new IOException("it ended"));
+                }
+            });
+            stream.resumeReads(); // What is there to read was sent before.
+            again(TIMES);
+        } catch (IOException e) {
+            readInTime.completeExceptionally(e);
+        }
+    }
+
+    @Timeout(value = 60, threadMode = Timeout.ThreadMode.SEPARATE_THREAD)
+    @Test void timersThatAreDueSoonOneAfterAnotherKeepNoSocketWaiting() throws Exception {
+        loop = new Loop();
+        AcceptingChannel<StreamConnection> server = loop.worker().createStreamConnectionServer(
+                new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), this::accept, OptionMap.EMPTY);
+        try (Socket client = new Socket()) {
+            client.connect(server.getLocalAddress());
+            client.getOutputStream().write(1);
+            server.resumeAccepts();
+            assertThat(readInTime.get()).isTrue();
+        } finally {
+            loop.end();
+        }
+    }
+}
