Count one attempt a connection on sockets, as the pool runs them, whatever streamsPerConn says

Brain.linked took eight attempts for fitting on each open connection where settings name eight streams (the second site), while ServerPool runs one a connection: members with every connection busy passed for linked, and a new one was opened. Settings.onSockets holds both facts that only sockets have, places and one attempt a connection; the simulator keeps its streams. The first site names one stream: nothing changes there. Ruled out: idle closes; few were counted.

--- a/decisions/src/main/java/willowfield/Router.java
+++ b/decisions/src/main/java/willowfield/Router.java
@@ -72,9 +72,10 @@
                     connectTimeoutUs, holdsForUs, idleCloseUs, perLink, 0);
         }
 
-        public Limits withPlaces(int n) {
+        /** As it is on sockets: a connection carries one attempt at a time. */
+        Limits onSockets(int usual) {
             return new Limits(maxAttempts, probes, cancel, retryAdvice, maxAdviceUs, subscribe, askWithinUs,
-                    connectTimeoutUs, holdsForUs, idleCloseUs, perLink, n);
+                    connectTimeoutUs, holdsForUs, idleCloseUs, 1, usual);
         }
     }
 
@@ -104,9 +105,9 @@
         }
 
         /** The same but for the places of clients. */
-        public Settings withPlaces(int n) {
+        public Settings onSockets(int places) {
             return new Settings(seed, instances, zone, tickUs, classes, checks, listRole, marks, positions,
-                    limits.withPlaces(n), rules);
+                    limits.onSockets(places), rules);
         }
     }
 
--- a/pooler/src/main/java/frostreel/config/Config.java
+++ b/pooler/src/main/java/frostreel/config/Config.java
@@ -98,7 +98,7 @@
         int usual = descriptors / USUAL_PART;
         int maxServers = Math.max(sockets / SPARE_PART, sockets - usual - sockets / SPARE_PART);
         Fields options = f.object("settings");
-        Router.Settings settings = SettingsReader.read(seed(f), options).withPlaces(usual);
+        Router.Settings settings = SettingsReader.read(seed(f), options).onSockets(usual);
         List<Object> zones = options.has("zones") ? options.list("zones") : List.of();
         List<Object> kinds = options.has("machineTypes") ? options.list("machineTypes") : List.of();
         Fields caps = options.object("caps");
--- a/pooler/src/test/java/frostreel/Stage.java
+++ b/pooler/src/test/java/frostreel/Stage.java
@@ -306,7 +306,7 @@
     private static Config withoutPlaces(Config c) {
         return new Config(c.name(), c.listen(), c.control(), c.inherits(), c.orders(), c.discovery(),
                 c.maxClients(), c.usualClients(), c.maxServerConnections(), c.maxOpen(), c.known(), c.zones(),
-                c.kinds(), c.settings().withPlaces(0), c.source());
+                c.kinds(), c.settings().onSockets(0), c.source());
     }
 
     /** SIGHUP, with a file that names another discovery. */
