Shed writes only at a primary that is jammed, and leave late ones their writes

At fault: onRequest asked whether any member of the group, also a slow replica, let out one attempt at a time; writes ask their head now, if it is not doubted. writeTimeout knew a busy primary by its report alone; where none comes, a window cut by late answers tells as much. Also: a keyed write whose scope is the zone went to any zone again once it may have run. It is held to the zone of its first such attempt.

Tests: aJammedReplicaRefusesNoWrite, aPrimaryThatWasLateKeepsItsWrites..., aKeyThatOneZoneKnowsIsRepeatedThereAlone; with Brain as before five cases of them fail.

--- a/decisions/src/main/java/willowfield/Brain.java
+++ b/decisions/src/main/java/willowfield/Brain.java
@@ -114,7 +114,7 @@
         final int mostAttempts = set.limits().maxAttempts();
         final ArrayList<Node> missed = new ArrayList<>(4);
         Node on;
-        int attempts;
+        int attempts, keyZone = -1; // The one zone that may know its key; -1 while it may go anywhere.
         long startedUs, sentAt, firstMaybe, notBefore, patienceUs;
         boolean mayHaveRun, parked, ended, crowded;
 
@@ -312,7 +312,8 @@
         int from = c.g.start == null ? 0 : Math.max(0, chain.indexOf(c.g.start));
         for (int i = 0; i < 2 * chain.size(); i++) {
             Node n = chain.get((from + i) % chain.size());
-            if (usable(n) && !c.missed.contains(n) && (n.known || i >= chain.size())) {
+            boolean last = !n.known || c.keyZone >= 0 && n.zone != c.keyZone;
+            if (usable(n) && !c.missed.contains(n) && (!last || i >= chain.size())) {
                 return n;
             }
         }
@@ -390,8 +391,7 @@
         Group g = groups.computeIfAbsent(q.group(), Group::new);
         Call c = new Call(q, g, now);
         calls.put(q.id(), c);
-        c.crowded = g.chain.stream().anyMatch(n -> n.window <= 1) && draw.nextDouble()
-                < g.goodput.excess(now, goodput);
+        c.crowded = jammed(c) && draw.nextDouble() < g.goodput.excess(now, goodput);
         if (c.crowded) {
             giveUp(now, c);
         } else {
@@ -407,6 +407,12 @@
         }
     }
 
+    /** Whether a member where it may go lets out one attempt at a time: a slow replica jams no write. */
+    private boolean jammed(Call c) {
+        return c.toHead ? c.g.head != null && !c.g.doubted && c.g.head.window <= 1
+                : c.g.chain.stream().anyMatch(n -> n.window <= 1);
+    }
+
     private void conclude(long now, Call c, double worth) {
         if (!c.ended && (worth > 0 || c.crowded)) { // Refusing cures no error, and no want of a primary.
             goodput.add(now, worth);
@@ -477,10 +483,12 @@
         g.parked.removeIf(c -> !c.parked);
     }
 
-    /** A primary that says it is busy is not silent: the same write again would only add to its work. */
+    /** A primary that says it is busy, or that says nothing and was late of late, is not silent: the same write
+     * again would only add to its work. */
     private long writeTimeout(long now, Call c, Node n) {
         long left = c.q.deadlineUs() - now;
-        if (c.k.repeat() == Repeat.UNSAFE || slow.util(n.start) >= FULL) {
+        double util = slow.util(n.start);
+        if (c.k.repeat() == Repeat.UNSAFE || util >= FULL || util < 0 && n.window < FIRST_WINDOW) {
             return left;
         }
         long t = (long) Math.max(c.k.aimUs(), SILENCE * expected(c, n, now));
@@ -771,6 +779,7 @@
         if (!outcome.provesNotRun && !c.mayHaveRun) {
             c.mayHaveRun = true;
             c.firstMaybe = c.sentAt;
+            c.keyZone = c.k.repeat() == Repeat.KEYED && c.k.scope() == Scope.ZONE ? n.zone : -1;
         }
         if (closed || c.ended || outcome == Outcome.OK) {
             double worth = now - c.arrivedUs <= c.k.aimUs() ? 1 : c.k.lateWorth();
@@ -951,7 +960,7 @@
                 || !slow.admits(now, n.start, c.q.cls())) {
             return false;
         }
-        if (!fresh(now, c, n)) {
+        if (!fresh(now, c, n) || c.keyZone >= 0 && n.zone != c.keyZone) {
             return false;
         }
         if (marks(c)) {
--- a/decisions/src/test/java/willowfield/BrainTest.java
+++ b/decisions/src/test/java/willowfield/BrainTest.java
@@ -9,6 +9,7 @@
 import static willowfield.Recorder.FRESH;
 import static willowfield.Recorder.KEYED;
 import static willowfield.Recorder.KEYED_ANYWHERE;
+import static willowfield.Recorder.KEYED_IN_ZONE;
 import static willowfield.Recorder.SAFE_READ;
 import static willowfield.Recorder.SESSION;
 import static willowfield.Recorder.UNSAFE;
@@ -21,8 +22,6 @@
 import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
-import org.junit.jupiter.params.provider.EnumSource;
-import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -413,6 +412,21 @@
         assertEquals("a", r.last("q").member());
     }
 
+    /** Where it ran a zone's members drop it by its key; those of another zone would run it again. */
+    @ParameterizedTest
+    @CsvSource({"TIMEOUT, b, true", "TIMEOUT, c, false", "ERROR, c, false", "RESET, c, false", "MISS, b, true"})
+    void aKeyThatOneZoneKnowsIsRepeatedThereAlone(Outcome first, String primary, boolean again) {
+        Recorder r = trio(); // a and b are in one zone, c is in another.
+        r.ask("w", KEYED_IN_ZONE);
+        assertEquals("a", r.last("w").member());
+        r.end("w", first);
+        r.probeOk(primary, Role.PRIMARY, r.now + 1);
+        r.pass(3_200_000);
+        assertEquals(again, r.countTo(primary) > 0);
+        assertEquals(again ? List.of() : List.of("w"), r.failed);
+        assertEquals(List.of(), r.refused);
+    }
+
     /** Its budget was another when it was chosen: connections to one that comes back come up all at once. */
     @Test
     void whatWaitsForItsConnectionIsSentToAMemberThatStartedMeanwhileOnlyAsOneOfItsFirst() {
@@ -689,6 +703,29 @@
         }
     }
 
+    /** On days of a hundred poolers a sixth of all worth was writes refused at once, most with room at their head. */
+    @Test
+    void aJammedReplicaRefusesNoWrite() {
+        Recorder r = trio();
+        int ended = 0;
+        for (int i = 0; i < 60; i++) {
+            for (int j = 0; j < 6; j++) {
+                r.ask("q" + i + j, ANY);
+            }
+            r.pass(200_000);
+            for (; ended < r.sent.size(); ended++) { // Each that is ended may be followed by another.
+                Recorder.Sent read = r.sent.get(ended);
+                if (read.request().startsWith("q")) {
+                    r.end(read.request(), read.member().equals("a") ? Outcome.ERROR : Outcome.TIMEOUT);
+                }
+            }
+            r.ask("w" + i, UNSAFE);
+            assertEquals("a", r.last("w" + i).member(), "write " + i);
+            r.end("w" + i, Outcome.OK, Role.PRIMARY, r.now);
+        }
+        assertTrue(r.refused.size() > 10, "reads refused: " + r.refused.size());
+    }
+
     /** Refusing is for jams: failures of a few members, or answers lost, may not turn requests away. */
     @Test
     void aThirdFailingRefusesNothingAtOnce() {
@@ -713,6 +750,28 @@
         }
     }
 
+    /** Where no report tells that it is busy, its late answers do: the same write again only adds to its queue. */
+    @Test
+    void aPrimaryThatWasLateKeepsItsWritesAndOneThatWasNotIsGivenUp() {
+        Setup s = new Setup();
+        s.probes = Router.Probes.LIVENESS;
+        Recorder late = s.start(up("a", 0, true), up("b", 0, false));
+        Recorder soon = s.start(up("a", 0, true), up("b", 0, false));
+        for (int i = 0; i < 8; i++) {
+            late.ask("w" + i, KEYED);
+            soon.ask("w" + i, KEYED);
+            soon.end("w" + i, Outcome.OK, Role.PRIMARY, soon.now);
+            late.pass(400_000);
+            soon.pass(400_000);
+            late.router.onOutcome(late.now, "w" + i, 0, "a", Outcome.OK, true, 800_000, Role.PRIMARY,
+                    late.now, null);
+        }
+        late.ask("last", KEYED);
+        soon.ask("last", KEYED);
+        assertEquals(4_000_000, late.last("last").timeoutUs());
+        assertTrue(soon.last("last").timeoutUs() < 1_500_000, "" + soon.last("last").timeoutUs());
+    }
+
     /** Work alone took a quarter of an aim on some machines; cut for that, windows left them idle. */
     @Test
     void aMemberWhoseWorkTakesAThirdOfTheAimIsSentManyAtOnce() {
--- a/decisions/src/test/java/willowfield/Recorder.java
+++ b/decisions/src/test/java/willowfield/Recorder.java
@@ -26,6 +26,7 @@
     static final int UNSAFE = 4;
     static final int ANY = 5;
     static final int KEYED_ANYWHERE = 6;
+    static final int KEYED_IN_ZONE = 7;
 
     record Sent(String request, String member, long timeoutUs, int attempt) {}
 
@@ -74,7 +75,8 @@
                     kind("keyed", Access.WRITE, Repeat.KEYED, Scope.GROUP, 0.5),
                     kind("unsafe", Access.WRITE, Repeat.UNSAFE, Scope.GROUP, 0.5),
                     kind("any", Access.ANY, Repeat.SAFE, Scope.GROUP, 0),
-                    kind("keyed anywhere", Access.WRITE, Repeat.KEYED, Scope.ALL, 0.5));
+                    kind("keyed anywhere", Access.WRITE, Repeat.KEYED, Scope.ALL, 0.5),
+                    kind("keyed in its zone", Access.WRITE, Repeat.KEYED, Scope.ZONE, 0.5));
             return new Router.Settings(seed, instances, zone, 5_000, classes, checks, listRole, marks, true,
                     new Router.Limits(maxAttempts, probes, cancel, advice, 2_000_000, subscribe, 10_000_000,
                             250_000, 50_000, 30_000_000, 1, places),
