Guess the work of a class that nobody answered yet by the others' answers; wrap long lines

At fault: SlowStart kept a fifth of the aim as the work of a class until its first answer, beside reads learned as a thousandth of theirs; the budget, counted in the reads' times, would have taken minutes to let one write go. A class without an answer is guessed by as much of its aim as the others' answers are of theirs. Ruled out: reckoning with one router where their number is not told; BrainTest.turnedAwayWorkDoesNotRaiseAColdMembersShare fails with it, rightly.

--- a/decisions/src/main/java/willowfield/Brain.java
+++ b/decisions/src/main/java/willowfield/Brain.java
@@ -483,8 +483,8 @@
         g.parked.removeIf(c -> !c.parked);
     }
 
-    /** A primary that says it is busy, or that says nothing and was late of late, is not silent: the same write
-     * again would only add to its work. */
+    /** A primary that says it is busy, or that says nothing and was late of late, is not silent: the same
+     * write again would only add to its work. */
     private long writeTimeout(long now, Call c, Node n) {
         long left = c.q.deadlineUs() - now;
         double util = slow.util(n.start);
@@ -600,7 +600,8 @@
                 continue;
             }
             boolean proven = n.position >= need || likely(now, n, need);
-            if (proven ? !room(now, n, part) || !slow.admits(now, n.start, c.q.cls()) : n.probing || !provable(now, n, need)) {
+            if (proven ? !room(now, n, part) || !slow.admits(now, n.start, c.q.cls())
+                    : n.probing || !provable(now, n, need)) {
                 waits = true;
                 continue;
             }
--- a/decisions/src/main/java/willowfield/SlowStart.java
+++ b/decisions/src/main/java/willowfield/SlowStart.java
@@ -67,7 +67,7 @@
         leastUs = Arrays.copyOf(leastUs, settings.classes().size());
         answered = Arrays.copyOf(answered, leastUs.length);
         for (int i = known; i < leastUs.length; i++) {
-            leastUs[i] = settings.classes().get(i).aimUs() / 5.0; // Until the first answer tells.
+            leastUs[i] = guessUs(i);
         }
     }
 
@@ -117,9 +117,24 @@
 
     /** An answer that served a request of this class. */
     void served(long nowUs, Member m, int cls, long tookUs) {
-        leastUs[cls] += (!answered[cls] ? 1 : tookUs < leastUs[cls] ? QUICKER : SLOWER) * (tookUs - leastUs[cls]);
+        double weight = !answered[cls] ? 1 : tookUs < leastUs[cls] ? QUICKER : SLOWER;
+        leastUs[cls] += weight * (tookUs - leastUs[cls]);
         answered[cls] = true;
         m.served.add(nowUs, leastUs[cls]);
+        double guessed = 0;
+        double least = 0;
+        for (int i = 0; i < leastUs.length; i++) {
+            guessed += answered[i] ? guessUs(i) : 0;
+            least += answered[i] ? leastUs[i] : 0;
+        }
+        for (int i = 0; i < leastUs.length; i++) {
+            leastUs[i] = answered[i] ? leastUs[i] : guessUs(i) * least / guessed;
+        }
+    }
+
+    /** Until the first answer of a class: by as much of its aim as the others' answers are of theirs. */
+    private double guessUs(int cls) {
+        return set.classes().get(cls).aimUs() / 5.0;
     }
 
     /** A request of this class goes to it. */
@@ -128,10 +143,10 @@
     }
 
     /**
-     * Whether it may be sent a request of this class: what it may do grows with its warmth, more where it says
-     * that it has room, or where nothing tells how busy the others are: what they served they can do at the
-     * least. A full budget and what comes meanwhile stay below what pushes it over. Each of hundreds of routers
-     * may owe less than one request: what each waits for before its first one is drawn.
+     * Whether it may be sent a request of this class: what it may do grows with its warmth, more where it
+     * says that it has room, or where nothing tells how busy the others are: what they served they can do at
+     * the least. A full budget and what comes meanwhile stay below what pushes it over. Each of hundreds of
+     * routers may owe less than one request: what each waits for before its first one is drawn.
      */
     boolean admits(long nowUs, Member m, int cls) {
         double warmth = warmth(nowUs, m);
--- a/decisions/src/test/java/willowfield/BrainTest.java
+++ b/decisions/src/test/java/willowfield/BrainTest.java
@@ -414,7 +414,8 @@
 
     /** Where it ran a zone's members drop it by its key; those of another zone would run it again. */
     @ParameterizedTest
-    @CsvSource({"TIMEOUT, b, true", "TIMEOUT, c, false", "ERROR, c, false", "RESET, c, false", "MISS, b, true"})
+    @CsvSource({"TIMEOUT, b, true", "TIMEOUT, c, false", "ERROR, c, false", "RESET, c, false",
+            "MISS, b, true"})
     void aKeyThatOneZoneKnowsIsRepeatedThereAlone(Outcome first, String primary, boolean again) {
         Recorder r = trio(); // a and b are in one zone, c is in another.
         r.ask("w", KEYED_IN_ZONE);
@@ -703,7 +704,7 @@
         }
     }
 
-    /** On days of a hundred poolers a sixth of all worth was writes refused at once, most with room at their head. */
+    /** With many poolers a sixth of all worth was writes refused at once, most with room at their head. */
     @Test
     void aJammedReplicaRefusesNoWrite() {
         Recorder r = trio();
@@ -750,7 +751,7 @@
         }
     }
 
-    /** Where no report tells that it is busy, its late answers do: the same write again only adds to its queue. */
+    /** Where no report tells that it is busy, its late answers do: the same write again adds to its queue. */
     @Test
     void aPrimaryThatWasLateKeepsItsWritesAndOneThatWasNotIsGivenUp() {
         Setup s = new Setup();
--- a/decisions/src/test/java/willowfield/SlowStartTest.java
+++ b/decisions/src/test/java/willowfield/SlowStartTest.java
@@ -57,7 +57,7 @@
             slow.listed(START_US, cold, entry("b", START_US));
             all += sent(slow, cold, START_US, LONG, 1_000);
         }
-        // A quarter of a core for 2 s is four requests of a fifth of their aim; a core of it may be sent 3 times.
+        // A quarter of a core for 2 s is four requests of a fifth of their aim; it falls at three times that.
         assertThat(all).isBetween(1, 12);
     }
 
@@ -94,6 +94,18 @@
         assertThat(sent).isBetween(21, 59);
     }
 
+    /** By its first guess a write was a thousand times the reads answered so far, and waited for 4 s. */
+    @Test void aClassThatNobodyAnsweredYetIsGuessedByTheOthers() {
+        SlowStart slow = with(0, 7);
+        SlowStart.Member only = slow.meet(START_US);
+        slow.listed(START_US, only, entry("a", 0));
+        for (int i = 0; i < 20; i++) {
+            slow.served(START_US, only, CLS, WORK_US / 1000);
+        }
+        slow.listed(START_US, only, entry("a", START_US));
+        assertThat(sent(slow, only, START_US, LONG, 1_000)).isBetween(1, 60);
+    }
+
     @Test void aWarmMemberIsNotHeldBack() {
         SlowStart slow = with(100, 7);
         SlowStart.Member m = slow.meet(START_US);
--- a/pooler/src/test/java/frostreel/LateConnectionsTest.java
+++ b/pooler/src/test/java/frostreel/LateConnectionsTest.java
@@ -46,8 +46,8 @@
             assertThat(c.takeAnswer()).singleElement().asString().contains("|C08007|");
             assertThat(value(c.ask(post("2", 9000)))).isEqualTo("second");
             assertThat(primary.next()).contains("id=2,");
-            // The late connection serves what comes next. Whether that was read before the welcome, and so had
-            // one more opened for it, is up to the loop; that one is not welcomed and can serve nothing.
+            // The late connection serves what comes next. Whether that was read before the welcome, and so
+            // had one more opened for it, is up to the loop; that one is not welcomed and can serve nothing.
             assertThat(served).containsExactly(late);
         }
     }
