Make system calls of the lab's processes fail, and hold a start without name server, red

A library that the lab compiles and preloads makes accept, socket, connect, epoll_wait, reads, writes, the resolver, files, the log and the wall clock fail or take long, by a table that the lab maps too; experiments name such faults by <system>. Measured: SystemFaultsTest.aStartWaitsForNoNameServer fails, the restarted pooler is not in after 13.5 s (8 allowed); ProcessesTest passes.

--- a/lab/src/main/java/frostreel/lab/processes/Conductor.java
+++ b/lab/src/main/java/frostreel/lab/processes/Conductor.java
@@ -62,6 +62,9 @@
             throws Exception {
         out.printf("%s, seed %d: starting %d poolers%n", experiment.name(), seed, experiment.poolers());
         out.flush();
+        if (experiment.failsSystemCalls()) {
+            fleet.preloadFaults();
+        }
         fleet.start();
         CountDownLatch over = new CountDownLatch(1);
         fleet.begin(experiment.faults());
@@ -133,6 +136,7 @@
                 case "atTheDoor" -> fleet.load().atTheDoor;
                 case "killedOld" -> fleet.killed();
                 case "refusedCalls" -> fleet.refusedCalls();
+                case "slowestStartS" -> fleet.slowestStartUs() / 1e6;
                 case "upgrades" -> fleet.upgrades();
                 default -> faultsInLogs;
             };
--- a/lab/src/main/java/frostreel/lab/processes/Fleet.java
+++ b/lab/src/main/java/frostreel/lab/processes/Fleet.java
@@ -64,6 +64,7 @@
     private long upgrades;
     private long killed;
     private long refusedCalls;
+    private long slowestStartUs;
     private boolean ending;
     private final AtomicBoolean ended = new AtomicBoolean();
 
@@ -78,6 +79,8 @@
         JSONObject known;
         boolean wanted;
         boolean upgrading;
+        /** When the life that is not in yet was started, 0 where there is none. */
+        long startedUs;
 
         Pooler(int number, String host, Path jar) throws IOException {
             InetSocketAddress any = new InetSocketAddress(host, 0);
@@ -104,6 +107,7 @@
         /** What its agent has counts as told from its first moment: it would have been, had it asked. */
         void start() {
             wanted = true;
+            startedUs = kernel.now();
             rules.paused(kernel.now(), process.number, false);
             agent.members().stream().filter(m -> m.state() != Router.State.UP)
                     .forEach(m -> rules.told(kernel.now(), process.number, m.id(), m.state()));
@@ -272,7 +276,10 @@
                 CompletableFuture<Void> one = new CompletableFuture<>();
                 in.add(one);
                 p.start();
-                load.await(p.process.number, () -> one.complete(null));
+                load.await(p.process.number, () -> {
+                    p.startedUs = 0;
+                    one.complete(null);
+                });
             }
             return null;
         });
@@ -354,10 +361,22 @@
         p.start();
         load.await(p.process.number, () -> {
             tell(p.process.name() + " is in");
+            isIn(p);
             in.run();
         });
     }
 
+    private void isIn(Pooler p) {
+        slowestStartUs = slowestStartUs();
+        p.startedUs = 0;
+    }
+
+    /** How long the slowest start after the first took until it was in, or has taken by now. */
+    long slowestStartUs() {
+        return poolers.stream().filter(p -> p.startedUs > 0).mapToLong(p -> kernel.now() - p.startedUs)
+                .reduce(slowestStartUs, Math::max);
+    }
+
     /**
      * A successor is started beside a pooler's process, which is told to stop once the successor says that it
      * takes clients. Where {@code dieUs} is not 0, the successor is killed so long after its start instead.
@@ -437,6 +456,25 @@
         return refusedCalls;
     }
 
+    /** Makes the poolers' system calls fail on demand; before {@link #start}, from any thread but the loop's. */
+    void preloadFaults() throws Exception {
+        Path library = SystemFaults.compile(folder);
+        onLoop(() -> {
+            for (Pooler p : poolers) {
+                p.process.faults(new SystemFaults(library, folder.resolve(p.process.name() + ".faults")));
+            }
+            return null;
+        });
+    }
+
+    /** System calls of a pooler's processes fail from now on for so long, so often at most. */
+    void strike(int pooler, SystemFaults.Call call, SystemFaults.Error error, long forUs, long times,
+            long spanUs) {
+        tell("p" + pooler + ": " + call + " meets " + error + " for " + forUs / 1000 + " ms"
+                + (times == SystemFaults.ALWAYS ? "" : ", " + times + " times"));
+        poolers.get(pooler).process.faults().strike(call, error, forUs, times, spanUs);
+    }
+
     /** SIGSTOP or SIGCONT; what a paused pooler could not answer, nobody is owed. */
     void pause(int pooler, boolean paused) {
         Pooler p = poolers.get(pooler);
--- a/lab/src/main/java/frostreel/lab/processes/PoolerProcess.java
+++ b/lab/src/main/java/frostreel/lab/processes/PoolerProcess.java
@@ -21,12 +21,15 @@
     private static final List<String> JAVA = List.of("-Djava.net.preferIPv4Stack=true", "-Xmx64m",
             "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData");
     private static final int PAGE_MS = 20_000;
+    private static final String HOST_NAME = "HOSTNAME";
     final int number;
     final InetSocketAddress listen;
     private final Path jar;
     private final Path folder;
     /** Null where each life listens by itself, and operators do not call. */
     private final SharedSocket shared;
+    /** Null where none of its system calls is to fail. */
+    private SystemFaults faults;
     private ProcessHandle process;
     private ProcessHandle before;
     private int lives;
@@ -50,6 +53,15 @@
         this.folder = folder;
     }
 
+    /** From the next life on, its system calls can be made to fail. */
+    void faults(SystemFaults withFaults) {
+        faults = withFaults;
+    }
+
+    SystemFaults faults() {
+        return faults;
+    }
+
     /** What all lives of it share beside the socket. */
     Path temporary() {
         return folder.resolve(name() + ".tmp");
@@ -105,6 +117,9 @@
         Path log = folder.resolve(name() + "-" + ++lives + ".log");
         Map<String, String> environment = new TreeMap<>(Map.of("GW_CONFIG", file.toString(), "GW_NAME",
                 name(), "GW_LISTEN", text(listen), "GW_DISCOVERY", discovery));
+        if (faults != null) {
+            environment.putAll(faults.environment());
+        }
         if (shared != null) {
             control = free(listen.getAddress());
             Files.createDirectories(temporary());
@@ -115,6 +130,7 @@
         }
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
                 .redirectOutput(log.toFile());
+        builder.environment().remove(HOST_NAME); // A platform's environment has none, as a rule.
         builder.environment().putAll(environment);
         process = builder.start().toHandle();
     }
--- a/lab/src/main/java/frostreel/lab/processes/ProcessExperiment.java
+++ b/lab/src/main/java/frostreel/lab/processes/ProcessExperiment.java
@@ -31,6 +31,7 @@
     private final List<Consumer<Fleet>> faults = new ArrayList<>();
     private final List<Check> checks = new ArrayList<>();
     private long slackUs;
+    private boolean failsSystemCalls;
 
     private ProcessExperiment(String file, XmlElement root, List<Fault> wrong) {
         this.file = file;
@@ -102,6 +103,7 @@
                 }
                 faults.add(f -> f.at(atUs, () -> f.call(pooler, e.text("line"), server)));
             }
+            case "system" -> systemFault(e, pooler, atUs, untilUs);
             case "kill" -> faults.add(f -> f.at(atUs, () -> f.kill(pooler, e.seconds("awayS"), () -> { })));
             case "stop" -> faults.add(f -> f.at(atUs, () -> f.stop(pooler, e.seconds("awayS"), () -> { })));
             case "pause" -> between(atUs, untilUs, f -> f.pause(pooler, true), f -> f.pause(pooler, false));
@@ -109,6 +111,15 @@
         }
     }
 
+    private void systemFault(XmlElement e, int pooler, long atUs, long untilUs) {
+        SystemFaults.Call call = SystemFaults.Call.valueOf(e.text("call"));
+        SystemFaults.Error error = SystemFaults.Error.valueOf(e.text("error"));
+        long times = e.has("times") ? e.whole("times") : SystemFaults.ALWAYS;
+        long spanUs = e.ms("spanMs") * (e.flag("back") ? -1 : 1);
+        failsSystemCalls = true;
+        faults.add(f -> f.at(atUs, () -> f.strike(pooler, call, error, untilUs - atUs, times, spanUs)));
+    }
+
     private void between(long atUs, long untilUs, Consumer<Fleet> begin, Consumer<Fleet> end) {
         faults.add(f -> {
             f.at(atUs, () -> begin.accept(f));
@@ -229,6 +240,11 @@
         return fleet.flag("operated");
     }
 
+    /** Whether system calls are to fail, so that the poolers need the library for that. */
+    boolean failsSystemCalls() {
+        return failsSystemCalls;
+    }
+
     int durationS() {
         return durationS;
     }
--- a/lab/src/main/java/frostreel/lab/processes/SharedSocket.java
+++ b/lab/src/main/java/frostreel/lab/processes/SharedSocket.java
@@ -56,7 +56,7 @@
 
     /** Starts a process that has the socket as descriptor 0; no word may hold a quote or a line's end. */
     ProcessHandle start(List<String> command, Map<String, String> environment, Path log) throws IOException {
-        StringBuilder line = new StringBuilder("exec env");
+        StringBuilder line = new StringBuilder("exec env -u HOSTNAME");
         environment.forEach((name, value) -> line.append(" '").append(name).append('=').append(value)
                 .append('\''));
         command.forEach(word -> line.append(" '").append(word).append('\''));
--- /dev/null
+++ b/lab/src/test/java/frostreel/lab/processes/SystemFaultsTest.java
@@ -0,0 +1,41 @@
+package frostreel.lab.processes;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.PrintWriter;
+import java.io.StringWriter;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+/** Processes of the built program whose system calls fail, at their start and under load. */
+class SystemFaultsTest {
+    private static final Path PROGRAM = Path.of("../pooler/target/frostreel.jar").toAbsolutePath();
+    private static final long SEED = 11;
+    @TempDir Path dir;
+
+    @AfterEach void everyProcessHasEnded() {
+        assertThat(ProcessHandle.current().children()).isEmpty();
+    }
+
+    /** Plays faults on pooler 0 of two for so long; every start and every request has to come to its end. */
+    private void play(int durationS, String faults, String checks) throws Exception {
+        Path file = Files.writeString(dir.resolve("play.xml"), """
+                <processes xmlns="urn:frostreel:processes:1" name="play" durationS="%d">
+                <fleet poolers="2" groups="2" operated="true"/><clients perSecond="60"/>
+                <faults>%s</faults><checks><rules slackMs="20000"/><slowestStartS atMost="8"/>
+                <faultsInLogs atMost="0"/>%s</checks></processes>""".formatted(durationS, faults, checks));
+        StringWriter out = new StringWriter();
+        boolean good = new Conductor(new PrintWriter(out), false).run(ProcessExperiment.read(file), SEED,
+                PROGRAM, dir.resolve("out"));
+        assertThat(good).as(out.toString()).isTrue();
+    }
+
+    @Test void aStartWaitsForNoNameServer() throws Exception {
+        play(14, """
+                <system pooler="0" call="RESOLVE" spanMs="15000" atS="0.5" untilS="14"/>
+                <kill pooler="0" atS="1" awayS="0.2"/>""", "");
+    }
+}
