Keep name servers and the log's reader from holding up whoever logs

The same mistake in related code: an address in a list that is a name was looked up on the I/O thread, and is refused now; lines at the end could wait for their reader before serving on began.

--- a/lab/src/main/java/frostreel/lab/processes/Fleet.java
+++ b/lab/src/main/java/frostreel/lab/processes/Fleet.java
@@ -456,7 +456,7 @@
         return refusedCalls;
     }
 
-    /** Makes the poolers' system calls fail on demand; before {@link #start}, from any thread but the loop's. */
+    /** Lets the poolers' system calls be made to fail; before {@link #start}, not on the loop. */
     void preloadFaults() throws Exception {
         Path library = SystemFaults.compile(folder);
         onLoop(() -> {
--- a/lab/src/test/java/frostreel/lab/processes/SystemFaultsTest.java
+++ b/lab/src/test/java/frostreel/lab/processes/SystemFaultsTest.java
@@ -38,4 +38,13 @@
                 <system pooler="0" call="RESOLVE" spanMs="15000" atS="0.5" untilS="14"/>
                 <kill pooler="0" atS="1" awayS="0.2"/>""", "");
     }
+
+    /** The log's reader takes nothing for a while, as a full pipe or a hung disk does. */
+    @Test void aLogThatTakesNothingHoldsNothingUp() throws Exception {
+        play(10, """
+                <system pooler="0" call="LOG" spanMs="3000" atS="0.5" untilS="5"/>
+                <kill pooler="0" atS="1" awayS="0.2"/>
+                <drainServer server="1" atS="3" untilS="6"/>""",
+                "<worth fromS=\"7\" toS=\"9\" atLeast=\"0.9\"/>");
+    }
 }
--- a/pooler/src/main/java/frostreel/cli/Serve.java
+++ b/pooler/src/main/java/frostreel/cli/Serve.java
@@ -7,6 +7,7 @@
 import frostreel.settings.FaultyFileException;
 import frostreel.settings.OperatorSettings;
 import java.io.IOException;
+import java.io.PrintStream;
 import java.nio.file.Path;
 import java.util.concurrent.Callable;
 import java.util.concurrent.RejectedExecutionException;
@@ -21,6 +22,8 @@
 final class Serve implements Callable<Integer> {
     /** No exit code: the pooler's own threads go on. */
     static final int GOES_ON = -1;
+    /** How long a line at the end may take to be written. */
+    private static final long MOST_WRITING_MS = 200;
     private static final Logger LOG = Logger.getLogger(Serve.class.getName());
 
     @Option(names = "--settings", paramLabel = "FILE",
@@ -75,15 +78,24 @@
         }
     }
 
+    /** Writes one line, and goes on where its reader does not take it: an end must not wait for that. */
+    private static void say(PrintStream to, String text) throws InterruptedException {
+        Thread writer = new Thread(() -> to.println("frostreel: " + text), "last words");
+        writer.setDaemon(true);
+        writer.start();
+        writer.join(MOST_WRITING_MS);
+    }
+
     private static void end(Pooler pooler) {
         // Not by the logger: it is shut down at the same time as this runs.
-        System.err.println("frostreel: stopping: clients are served for a little longer");
         try {
+            say(System.err, "stopping: clients are served for a little longer");
             if (!pooler.stop()) {
-                System.err.println("frostreel: stopped with clients still connected");
+                say(System.err, "stopped with clients still connected");
             }
-            System.out.println("frostreel: " + pooler.counters());
+            say(System.out, pooler.counters());
             pooler.close();
+            Logging.flush();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
         }
--- a/pooler/src/main/java/frostreel/config/HostList.java
+++ b/pooler/src/main/java/frostreel/config/HostList.java
@@ -1,6 +1,8 @@
 package frostreel.config;
 
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -13,6 +15,8 @@
     /** A server as the decisions see it, and the address at which this machine reaches it. */
     public record Host(Router.Member member, InetSocketAddress dial) {}
 
+    private static final int IPV4_BYTES = 4;
+
     /**
      * Zones and kinds are told by name, and known to the decisions by their place among the settings' names.
      */
@@ -40,17 +44,40 @@
         return new HostList(list.whole("seq", 0, Long.MAX_VALUE, 0), list.flag("whole"), List.copyOf(hosts));
     }
 
-    /** Reads {@code address:port}; the address is a number, as there is no DNS. */
+    /**
+     * Reads {@code address:port}. The address must be a number: lists are read on the I/O thread, and a name
+     * would be looked up there.
+     */
     public static InetSocketAddress address(String text, String key) throws Malformed {
         int colon = text.lastIndexOf(':');
         try {
             int port = Integer.parseInt(text.substring(colon + 1));
             if (colon > 0 && port >= 0 && port < 1 << 16) {
-                return new InetSocketAddress(text.substring(0, colon), port);
+                return new InetSocketAddress(numeric(text.substring(0, colon)), port);
             }
-        } catch (NumberFormatException e) {
+        } catch (NumberFormatException | UnknownHostException e) {
             // Told below.
         }
         throw new Malformed("field '" + key + "' is not address:port");
     }
+
+    /** Four decimal octets, or what the JDK takes between brackets; neither is ever looked up. */
+    private static InetAddress numeric(String text) throws UnknownHostException {
+        if (text.indexOf(':') >= 0) {
+            return InetAddress.getByName(text.startsWith("[") ? text : "[" + text + "]");
+        }
+        String[] parts = text.split("\\.", -1);
+        byte[] octets = new byte[IPV4_BYTES];
+        if (parts.length != IPV4_BYTES) {
+            throw new UnknownHostException(text);
+        }
+        for (int i = 0; i < IPV4_BYTES; i++) {
+            int octet = Integer.parseInt(parts[i]);
+            if (octet < 0 || octet > 255) {
+                throw new UnknownHostException(text);
+            }
+            octets[i] = (byte) octet;
+        }
+        return InetAddress.getByAddress(octets);
+    }
 }
--- a/pooler/src/test/java/frostreel/PartsTest.java
+++ b/pooler/src/test/java/frostreel/PartsTest.java
@@ -64,7 +64,8 @@
     @Test void configurationErrorsNameTheKey() throws Exception {
         assertThatThrownBy(() -> Config.load(Map.of())).isInstanceOf(ConfigException.class)
                 .hasMessageContaining("GW_CONFIG");
-        Map<String, String> faults = Map.of("listen", "\"127.0.0.1\"", "seed", "\"xyz\"",
+        Map<String, String> faults = Map.of("listen", "\"127.0.0.1\"", "discovery",
+                "\"a.name.to.look.up:8500\"", "seed", "\"xyz\"",
                 "settings", "{\"classes\":[]}",
                 "known", "{\"seq\":1,\"hosts\":[{\"host\":\"a\",\"health\":\"Odd\"}]}");
         for (Map.Entry<String, String> bad : faults.entrySet()) {
