Accept again 20 ms after a failed accept, for as long as it takes

Cause: XNIO backs off for 0.25, 1, 4, 16, 30 s after failed accepts, while the system goes on taking clients into the backlog; no counter moved. Change: Acceptor owns a listening socket, for clients and for operators' callers alike; it ends XNIO's back-off, frees descriptors of idle connections, tells the begin and the end of the failure, counts each, and at a close first accepts all that waits, not 32. The pooler module's tests pass.

--- a/lab/src/test/java/frostreel/lab/processes/SystemFaultsTest.java
+++ b/lab/src/test/java/frostreel/lab/processes/SystemFaultsTest.java
@@ -47,4 +47,13 @@
                 <drainServer server="1" atS="3" untilS="6"/>""",
                 "<worth fromS=\"7\" toS=\"9\" atLeast=\"0.9\"/>");
     }
+
+    /** No accept goes well for 3 s, while all clients have to connect anew. */
+    @Test void acceptingGoesOnAsSoonAsTheSystemLetsIt() throws Exception {
+        play(9, """
+                <system pooler="0" call="ACCEPT" error="ENFILE" atS="2" untilS="5"/>
+                <system pooler="1" call="ACCEPT" error="ENOBUFS" atS="2" untilS="5"/>
+                <reset pooler="0" to="clients" atS="2.1"/><reset pooler="1" to="clients" atS="2.1"/>""",
+                "<worth fromS=\"6\" toS=\"8\" atLeast=\"0.9\"/>");
+    }
 }
--- a/pooler/src/main/java/frostreel/log/Logging.java
+++ b/pooler/src/main/java/frostreel/log/Logging.java
@@ -26,6 +26,8 @@
     private static final String HOST_PROPERTY = "jboss.host.name";
     private static final Path HOST_NAME = Path.of("/proc/sys/kernel/hostname");
     private static final String UNKNOWN_HOST = "localhost";
+    /** XNIO's line for each failed accept; the acceptor tells of the first one and of their end. */
+    private static final String ACCEPT_FAILED = "XNIO008001";
     private static LogQueue queue;
 
     private Logging() {}
@@ -46,6 +48,8 @@
         // Their starts and ends say nothing that ours do not.
         LogContext.getLogContext().getLogger("org.xnio").setLevel(Level.WARNING);
         LogContext.getLogContext().getLogger("org.jboss.threads").setLevel(Level.WARNING);
+        LogContext.getLogContext().getLogger("org.xnio.nio").setFilter(
+                entry -> !entry.getMessage().startsWith(ACCEPT_FAILED));
     }
 
     /**
--- a/pooler/src/main/java/frostreel/net/Listener.java
+++ b/pooler/src/main/java/frostreel/net/Listener.java
@@ -15,13 +15,9 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import java.util.function.Supplier;
-import java.util.logging.Logger;
-import org.xnio.IoUtils;
 import org.xnio.OptionMap;
 import org.xnio.Options;
 import org.xnio.StreamConnection;
-import org.xnio.channels.AcceptingChannel;
-import org.xnio.nio.InheritedServer;
 
 /** Owns the listening socket and the clients' connections, up to their cap. */
 public final class Listener {
@@ -40,7 +36,6 @@
     private static final long ROOM_CHECK_US = 50_000;
     /** Nobody who has something to ask is silent for so long after connecting. */
     private static final long SILENT_US = 300_000;
-    private static final Logger LOG = Logger.getLogger(Listener.class.getName());
     private final Loop loop;
     private final Broker broker;
     private final Door door;
@@ -51,7 +46,7 @@
     private final int usualBound;
     private final int idleBound;
     private final SlotTable<ClientConnection> clients;
-    private AcceptingChannel<StreamConnection> channel;
+    private final Acceptor acceptor;
     private boolean inherited;
     /** Clients between requests, and clients that have yet to send a whole one; the longest so first. */
     private final Set<ClientConnection> idle = new LinkedHashSet<>();
@@ -75,6 +70,7 @@
         usualBound = usualClients * 3 / 4;
         idleBound = usualClients / 3;
         clients = new SlotTable<>(maxClients + 1);
+        acceptor = new Acceptor(loop, "a client", ACCEPTS_AT_ONCE, this::accepted, this::spareDescriptors);
     }
 
     /**
@@ -88,36 +84,35 @@
                 .set(Options.BACKLOG, BACKLOG).set(Options.CONNECTION_HIGH_WATER, maxClients)
                 .set(Options.CONNECTION_LOW_WATER, maxClients - 1).getMap();
         inherited = inherits;
-        channel = inherits ? InheritedServer.open(loop.worker(), this::accept, options)
-                : loop.worker().createStreamConnectionServer(address, this::accept, options);
+        acceptor.open(address, inherits, options);
         if (door.accepts(loop.clock().now())) {
-            channel.resumeAccepts();
+            acceptor.resume();
         }
     }
 
     public InetSocketAddress address() {
-        return channel.getLocalAddress(InetSocketAddress.class);
+        return acceptor.address();
     }
 
-    private void accept(AcceptingChannel<StreamConnection> from) {
-        try {
-            for (int i = 0; i < ACCEPTS_AT_ONCE; i++) {
-                StreamConnection c = from.accept();
-                if (c == null) {
-                    return;
-                }
-                loop.counters().clientsAccepted++;
-                ClientConnection client = new ClientConnection(loop, this, c, secrets.nextInt());
-                client.slot = clients.add(client);
-                if (client.slot == SlotTable.NONE) {
-                    client.close();
-                    continue;
-                }
-                makeRoom();
-                client.begin();
-            }
-        } catch (IOException e) {
-            LOG.warning("accepting a client failed: " + e.getMessage());
+    private void accepted(StreamConnection c) {
+        loop.counters().clientsAccepted++;
+        ClientConnection client = new ClientConnection(loop, this, c, secrets.nextInt());
+        client.slot = clients.add(client);
+        if (client.slot == SlotTable.NONE) {
+            client.close();
+            return;
+        }
+        makeRoom();
+        client.begin();
+    }
+
+    /** An accept failed, perhaps for want of descriptors: clients that ask for nothing give theirs up. */
+    private void spareDescriptors() {
+        if (!leaving.isEmpty()) {
+            leaving.iterator().next().close();
+        }
+        if (!idle.isEmpty() && idle.iterator().next().leaveUnlessAsking()) {
+            loop.counters().clientsEvicted++;
         }
     }
 
@@ -270,12 +265,11 @@
     public void sweep() {
         long now = loop.clock().now();
         if (door.accepts(now)) {
-            channel.resumeAccepts();
+            acceptor.resume();
         } else if (inherited) {
-            channel.suspendAccepts(); // What waits there is the other process's.
-        } else if (channel.isOpen()) {
-            accept(channel); // What waits there was taken, and a close would reset it.
-            IoUtils.safeClose(channel);
+            acceptor.suspend(); // What waits there is the other process's.
+        } else {
+            acceptor.close();
         }
         if (now < door.sweepUs()) {
             return;
--- a/pooler/src/main/java/frostreel/stats/Counters.java
+++ b/pooler/src/main/java/frostreel/stats/Counters.java
@@ -8,6 +8,8 @@
 public final class Counters {
     public long clientsAccepted;
     public long clientsClosed;
+    /** Accepts that the system failed, of clients and of operators' callers. */
+    public long acceptFailures;
     public long clientsGone;
     public long clientsCancelled;
     public long clientsSilent;
@@ -47,7 +49,8 @@
 
     /** One line, names and values. */
     @Override public String toString() {
-        return "clients_accepted=" + clientsAccepted + " clients_closed=" + clientsClosed + " clients_gone="
+        return "clients_accepted=" + clientsAccepted + " clients_closed=" + clientsClosed
+                + " accept_failures=" + acceptFailures + " clients_gone="
                 + clientsGone + " clients_cancelled=" + clientsCancelled + " clients_silent=" + clientsSilent
                 + " clients_evicted=" + clientsEvicted + " clients_spared=" + clientsSpared
                 + " malformed=" + malformed + " stray_bytes=" + strayBytes
