--- a/pooler/src/main/java/frostreel/net/ServerConnection.java
+++ b/pooler/src/main/java/frostreel/net/ServerConnection.java
@@ -86,7 +86,7 @@
         attempt = a;
         a.on = this;
         reply = Reply.toQuery();
-        stream.write(a.query);
+        stream.write(a.query(loop.clock().now()));
         return true;
     }
 
--- a/pooler/src/main/java/frostreel/net/ServerPool.java
+++ b/pooler/src/main/java/frostreel/net/ServerPool.java
@@ -29,19 +29,27 @@
     /** What runs on a connection, or waits for one. */
     static final class Attempt {
         final Server server;
-        final byte[] query;
         final boolean probe;
         final Sink sink;
+        /** The request, null for a probe, and until when its server is waited for. */
+        private final Payload payload;
+        private final long untilUs;
         long handle;
         ServerConnection on;
         Deadlines.Deadline timeout;
 
-        Attempt(Server server, byte[] query, boolean probe, Sink sink) {
+        private Attempt(Server server, Payload payload, long untilUs, Sink sink) {
             this.server = server;
-            this.query = query;
-            this.probe = probe;
+            this.payload = payload;
+            this.untilUs = untilUs;
+            probe = payload == null;
             this.sink = sink;
         }
+
+        /** What is sent if it begins now: how long it is waited for counts from then. */
+        byte[] query(long nowUs) {
+            return probe ? SHOW_LOAD : payload.forServer(untilUs - nowUs);
+        }
     }
 
     /**
@@ -130,11 +138,11 @@
     }
 
     @Override public long start(String memberId, Payload payload, long patienceUs, Sink sink) {
-        return begin(memberId, payload.forServer(patienceUs), false, sink).handle;
+        return begin(memberId, payload, loop.clock().now() + patienceUs, sink).handle;
     }
 
     @Override public void probe(String memberId, Sink sink) {
-        Attempt a = begin(memberId, SHOW_LOAD, true, sink);
+        Attempt a = begin(memberId, null, 0, sink);
         a.timeout = loop.deadlines().after(connectTimeoutUs, () -> {
             if (attempts.get(a.handle) != null) {
                 abandon(a.handle);
@@ -143,9 +151,9 @@
         });
     }
 
-    private Attempt begin(String memberId, byte[] query, boolean probe, Sink sink) {
+    private Attempt begin(String memberId, Payload payload, long untilUs, Sink sink) {
         Server s = servers.get(memberId);
-        Attempt a = new Attempt(s, query, probe, sink);
+        Attempt a = new Attempt(s, payload, untilUs, sink);
         a.handle = attempts.add(a);
         if (s == null || !s.usable) {
             finish(a, Result.of(s == null ? Outcome.CONNECT_FAILED : Outcome.MOOT));
--- a/pooler/src/test/java/frostreel/DiscoveryTest.java
+++ b/pooler/src/test/java/frostreel/DiscoveryTest.java
@@ -206,4 +206,25 @@
         stage.shows("reloads=1");
         aShortPauseHidesNothingThatWasTold();
     }
+
+    /** An agent that takes longer than the pooler's patience for each answer is heard all the same. */
+    @Test void aLateAnswerCountsAndTheCallMadeBesideItIsGivenUp() throws Exception {
+        play();
+        BlockingQueue<Stage.Link> late = new LinkedBlockingQueue<>();
+        deeds.add(END);
+        assertThat(stage.discovery.next()).contains("index=1&wait=1 ");
+        assertThat(stage.discovery.ended.take()).isEqualTo("ended");
+        deeds.add((text, link) -> late.add(link));
+        Stage.Link first = late.take();
+        assertThat(stage.discovery.next()).as("beside the late one").contains("index=1&wait=1 ");
+        deeds.add(SILENCE);
+        first.send(http(told(2, "Terminating")));
+        assertThat(stage.discovery.next()).as("on the connection that was answered").contains("index=2&")
+                .doesNotContain("wait=1 ");
+        assertThat(stage.discovery.ended.take()).as("the second call is given up").isEqualTo("ended");
+        try (Stage.Link c = stage.client()) {
+            assertThat(value(c.ask(look("1", 9000)))).isEqualTo("from-primary");
+        }
+        assertThat(stage.discovery.links.get()).isEqualTo(3);
+    }
 }
--- a/pooler/src/test/java/frostreel/LateConnectionsTest.java
+++ b/pooler/src/test/java/frostreel/LateConnectionsTest.java
@@ -96,4 +96,20 @@
             assertThat(replica.heard).hasSize(1);
         }
     }
+
+    /** Its server is waited for until the client's deadline, which is nearer by the time of the handshake. */
+    @Test void theTimeThatAnAttemptTellsItsServerCountsFromItsSending() throws Exception {
+        replica.welcome = (text, link) -> handshakes.add(link);
+        start();
+        try (Stage.Link c = stage.client()) {
+            long sent = System.nanoTime();
+            c.send(query(look("1", 9000)));
+            Stage.Link late = handshakes.take();
+            Stage.pass(sent, 600);
+            welcome(late);
+            assertThat(value(c.takeAnswer())).isEqualTo("from-replica");
+            int told = Integer.parseInt(replica.next().replaceAll(".*,d=(\\d+).*", "$1"));
+            assertThat(told).isPositive().isLessThanOrEqualTo(8400);
+        }
+    }
 }
