Tell why requests and connections end, watch the I/O thread, and owe orders to a full disk

Need: the log could not say what a process waited for, why requests ended, or that the I/O thread stood still; nobody noticed if that thread ended. Errors that are no RuntimeException no longer leave an event, a timer or a connection half handled. Found on the way, the same class: the orders' folder was read by the I/O thread at the start; an order answered while the disk was full was never written; a file that could not be read once was never read again; a failure between rename and removal made the next writing invisible to others; half-written files of killed lives stayed. Measured: OrderFolderTest (3 new tests), OperatorsTest, BrokerTest, DiscoveryTest, LoopTest, BesideTest pass; whole suite not run yet.

--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -9,6 +9,7 @@
 import frostreel.control.Operator;
 import frostreel.discovery.Watch;
 import frostreel.fleet.Fellows;
+import frostreel.log.Logging;
 import frostreel.net.Listener;
 import frostreel.net.Loop;
 import frostreel.net.ServerPool;
@@ -18,6 +19,7 @@
 import frostreel.zones.ZoneAdviser;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.Locale;
 import java.util.Objects;
 import java.util.SplittableRandom;
 import java.util.concurrent.CountDownLatch;
@@ -66,6 +68,9 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     private final ClassTable classes;
     private Config inForce;
+    /** What clients wait for at the start: a list of servers, and the orders of earlier lives. */
+    private boolean serversKnown;
+    private boolean ordersTaken;
     /** How many changes of settings there were, and how many attempts a request that comes now may have. */
     private int changes;
     private int attempts;
@@ -87,7 +92,8 @@
         beside = Beside.of(config, loop.clock().now());
         loop.onBeat(beside.writes()::beat);
         pool = new ServerPool(loop, config.settings(), config.maxServerConnections());
-        broker = new Broker(loop.clock(), loop.deadlines(), loop.counters(), pool, config.settings(),
+        broker = new Broker(loop.clock(), loop.deadlines(), loop.counters(), loop.events(), pool,
+                config.settings(),
                 config.maxOpen(), (settings, actions) -> router(config, operators, settings, actions),
                 beside.writes());
         inForce = config;
@@ -97,6 +103,7 @@
         listener = new Listener(loop, broker, door, classes, config.maxClients(),
                 config.usualClients(), config.settings().seed());
         listener.page("stats", () -> loop.counters().toString());
+        listener.page("health", this::health);
         operator = new Operator(loop, door, pool, broker, listener::sweep, config.orders(),
                 Long.toHexString(config.settings().seed()) + "x" + Long.toHexString(loop.clock().now()));
         calls = config.control() == null ? null : new CallListener(loop, operator);
@@ -137,8 +144,13 @@
     }
 
     private void start(Config config) {
-        loop.beat();
-        operator.start();
+        loop.begin();
+        operator.start(() -> {
+            ordersTaken = true;
+            if (serversKnown) {
+                becomeReady();
+            }
+        });
         watch.start();
         try {
             listener.open(config.listen(), config.inherits());
@@ -254,12 +266,22 @@
         }
     }
 
+    /** Whether this process serves, what it waits for, and how old its view of the servers is. */
+    private String health() {
+        String missing = !serversKnown ? "servers" : !ordersTaken ? "orders" : "nothing";
+        return "clients=" + door.word().name().toLowerCase(Locale.ROOT) + " missing=" + missing + " " + watch
+                + " next_discovery=" + (next == null ? "none" : "unanswered") + " open_requests="
+                + broker.open() + " open_clients=" + listener.open() + " loop_late_ms=" + loop.lateUs() / 1000
+                + " log_lines_dropped=" + Logging.dropped();
+    }
+
     private void take(HostList list, Router.ListKind kind) {
         operator.listed(list, kind);
     }
 
     private void becomeReady() {
-        if (door.word() == Door.Word.STARTING) {
+        serversKnown = true;
+        if (ordersTaken && door.word() == Door.Word.STARTING) {
             takeKnown();
             door.ready();
             listener.sweep();
--- a/pooler/src/main/java/frostreel/broker/Broker.java
+++ b/pooler/src/main/java/frostreel/broker/Broker.java
@@ -1,5 +1,6 @@
 package frostreel.broker;
 
+import frostreel.log.EventLog;
 import frostreel.operation.CommitLog;
 import frostreel.stats.Counters;
 import java.util.ArrayDeque;
@@ -37,6 +38,8 @@
         long inFlight = SlotTable.NONE;
         String memberId;
         long sentUs;
+        /** How the last attempt ended, null while none has. */
+        Outcome lastOutcome;
         /** When the first attempt was sent that may have run; {@code Long.MAX_VALUE} while none was. */
         long maybeRanUs = Long.MAX_VALUE;
         Deadlines.Deadline timeout;
@@ -69,6 +72,7 @@
     private final Clock clock;
     private final Deadlines deadlines;
     private final Counters counters;
+    private final EventLog log;
     private final BackEnd backEnd;
     private final Router router;
     private final CommitLog commits;
@@ -82,17 +86,19 @@
     public Broker(Clock clock, Deadlines deadlines, Counters counters, BackEnd backEnd,
             Router.Settings settings,
             int maxOpen, BiFunction<Router.Settings, Router.Actions, Router> maker) {
-        this(clock, deadlines, counters, backEnd, settings, maxOpen, maker, CommitLog.NONE);
+        this(clock, deadlines, counters, new EventLog(clock::now), backEnd, settings, maxOpen, maker,
+                CommitLog.NONE);
     }
 
     /** {@code commits}: hears of the writes, for the processes that serve beside this one. */
-    public Broker(Clock clock, Deadlines deadlines, Counters counters, BackEnd backEnd,
+    public Broker(Clock clock, Deadlines deadlines, Counters counters, EventLog log, BackEnd backEnd,
             Router.Settings settings, int maxOpen,
             BiFunction<Router.Settings, Router.Actions, Router> maker, CommitLog commits) {
         this.commits = commits;
         this.clock = clock;
         this.deadlines = deadlines;
         this.counters = counters;
+        this.log = log;
         this.backEnd = backEnd;
         this.settings = settings;
         this.requests = new SlotTable<>(maxOpen);
@@ -114,7 +120,7 @@
             for (Runnable next = events.poll(); next != null; next = events.poll()) {
                 try {
                     next.run();
-                } catch (RuntimeException e) {
+                } catch (RuntimeException | Error e) {
                     // A fault in one event must not end the process; its request meets the overdue deadline.
                     counters.strayExceptions++;
                     LOG.log(Level.SEVERE, "an event failed", e);
@@ -184,6 +190,7 @@
     private void left(Entry r) {
         if (!r.answered) {
             counters.clientsGone++;
+            log.tell(EventLog.Kind.REQUEST_WITHDRAWN, () -> story(r) + ": its client has gone");
             leave(r);
         }
     }
@@ -197,6 +204,7 @@
             Entry r = requests.get(handle);
             if (r != null && !r.answered) {
                 counters.clientsCancelled++;
+                log.tell(EventLog.Kind.REQUEST_WITHDRAWN, () -> story(r) + ": cancelled by its client");
                 leave(r);
                 r.caller.cancelled();
             }
@@ -225,6 +233,14 @@
         return open[0];
     }
 
+    /** What is known of a request, for the log: its own id, its attempts and its time. */
+    private String story(Entry r) {
+        return "request " + r.ask.id() + " of class " + r.rules.name() + ", attempts " + r.attempts
+                + (r.attempts == 0 ? "" : ", last to " + r.memberId
+                + (r.inFlight != SlotTable.NONE ? " and out" : " ended " + r.lastOutcome))
+                + ", left " + (r.ask.deadlineUs() - clock.now()) / 1000 + " ms";
+    }
+
     // ---- What ends a request. ----
 
     private void close(Entry r) {
@@ -243,6 +259,7 @@
     private void overdue(Entry r) {
         if (!r.answered) {
             counters.overdue++;
+            log.tell(EventLog.Kind.REQUEST_OVERDUE, () -> story(r) + ": left open by the decisions");
             close(r);
             r.caller.failed();
             router.onClientGone(clock.now(), r.id);
@@ -267,6 +284,10 @@
         deadlines.cancel(r.timeout);
         r.inFlight = SlotTable.NONE;
         counters.outcome(result.outcome());
+        r.lastOutcome = result.outcome();
+        if (result.outcome() != Outcome.OK) {
+            log.tell(EventLog.Kind.ATTEMPT_FAILED, () -> story(r));
+        }
         if (!result.outcome().provesNotRun) {
             r.maybeRanUs = Math.min(r.maybeRanUs, r.sentUs);
         }
@@ -386,6 +407,8 @@
         Entry r = entry(requestId);
         if (r != null && !r.answered) {
             close(r);
+            log.tell(EventLog.Kind.REQUEST_REFUSED, () -> story(r) + ": to come back in " + adviceUs / 1000
+                    + " ms");
             counters.refused++;
             r.caller.refused(adviceUs);
             release(r);
@@ -396,6 +419,7 @@
         Entry r = entry(requestId);
         if (r != null && !r.answered) {
             close(r);
+            log.tell(EventLog.Kind.REQUEST_FAILED, () -> story(r));
             counters.failed++;
             r.caller.failed();
             release(r);
--- a/pooler/src/main/java/frostreel/broker/Deadlines.java
+++ b/pooler/src/main/java/frostreel/broker/Deadlines.java
@@ -66,7 +66,7 @@
             Deadline d = entries.pollFirst();
             try {
                 d.task.run();
-            } catch (RuntimeException e) {
+            } catch (RuntimeException | Error e) {
                 // One entry's fault must not take the other deadlines with it.
                 LOG.log(Level.SEVERE, "a timer failed", e);
             }
--- a/pooler/src/main/java/frostreel/control/Operator.java
+++ b/pooler/src/main/java/frostreel/control/Operator.java
@@ -49,15 +49,22 @@
         keeper = folder == null ? null : new OrderKeeper(loop, folder, life);
     }
 
-    /** Takes over what other lives left, and from then on what others hear; before the first list. */
-    public void start() {
-        if (keeper != null) {
-            taken(keeper.start());
+    /**
+     * Takes over what other lives left, and from then on what others hear. {@code then} runs once the first
+     * is done, within seconds whatever the disk does: until then no client may be served.
+     */
+    public void start(Runnable then) {
+        if (keeper == null) {
+            then.run();
+            return;
+        }
+        keeper.start(this::taken, () -> {
             if (!orders.all().isEmpty()) { // The files of older lives do not stay for good.
                 keeper.keep(Map.copyOf(orders.all()), failure -> { });
             }
             keeper.watch(this::taken);
-        }
+            then.run();
+        });
     }
 
     private void taken(Map<String, Orders.Order> heard) {
--- a/pooler/src/main/java/frostreel/control/OrderFolder.java
+++ b/pooler/src/main/java/frostreel/control/OrderFolder.java
@@ -34,11 +34,27 @@
     private static final int MOST_BYTES = 1 << 18;
     /** Files of so many lives are kept; the rest were taken over long ago. */
     private static final int MOST_LIVES = 16;
+    private static final String UNFINISHED = ".new";
+    /** No writing takes so long. */
+    private static final long UNFINISHED_MS = 60_000;
     private static final Logger LOG = Logger.getLogger(OrderFolder.class.getName());
+
+    /** What was found; {@code complete}: nothing was there that the disk would not give. */
+    record Found(Map<String, Orders.Order> orders, boolean complete) {}
+
+    /** A file that is not what a life wrote: it will not get better. */
+    private static final class DamagedException extends IOException {
+        DamagedException(String why) {
+            super(why);
+        }
+    }
+
     private final Path folder;
     private final String life;
     private final Set<String> seen = new HashSet<>();
+    /** The number of this life's newest file, and of the newest that is gone. */
     private int written;
+    private int removed;
 
     /** {@code life}: this process's own name, which no other life has or had; plain letters and digits. */
     OrderFolder(Path folder, String life) {
@@ -55,7 +71,31 @@
         byte[] text = new JSONObject().put("version", VERSION).put("life", life).put("orders", all).toString()
                 .getBytes(StandardCharsets.UTF_8);
         byte[] head = (checksum(text) + "\n").getBytes(StandardCharsets.US_ASCII);
-        Path fresh = folder.resolve(life + ".new");
+        Path fresh = folder.resolve(life + UNFINISHED);
+        try {
+            writeWhole(fresh, head, text);
+        } catch (IOException e) {
+            Files.deleteIfExists(fresh); // It takes room that the next try may need.
+            throw e;
+        }
+        // A name of its own each time, also where the steps after it fail: others look at names alone.
+        String name = name(++written);
+        Files.move(fresh, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE);
+        seen.add(name);
+        try (FileChannel f = FileChannel.open(folder, StandardOpenOption.READ)) {
+            f.force(true);
+        }
+        removeOlder(written);
+    }
+
+    private void removeOlder(int newest) throws IOException {
+        for (int number = removed + 1; number < newest; number++) {
+            Files.deleteIfExists(folder.resolve(name(number)));
+            removed = number;
+        }
+    }
+
+    private static void writeWhole(Path fresh, byte[] head, byte[] text) throws IOException {
         try (FileChannel out = FileChannel.open(fresh, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
                 StandardOpenOption.TRUNCATE_EXISTING)) {
             ByteBuffer bytes = ByteBuffer.allocate(head.length + text.length).put(head).put(text).flip();
@@ -64,14 +104,6 @@
             }
             out.force(true);
         }
-        String name = name(written + 1);
-        Files.move(fresh, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE);
-        seen.add(name);
-        Files.deleteIfExists(folder.resolve(name(written)));
-        written++;
-        try (FileChannel f = FileChannel.open(folder, StandardOpenOption.READ)) {
-            f.force(true);
-        }
     }
 
     private String name(int number) {
@@ -85,16 +117,18 @@
     }
 
     /**
-     * What other lives have written since the last call, the later order on each thing; a file that is
-     * damaged or of another version is named in the log once, and left out.
+     * What other lives have written since the last call, the later order on each thing. A file that is
+     * damaged or of another version is named in the log once, and left out; one that cannot be read now is
+     * looked at again at the next call.
      */
-    Map<String, Orders.Order> read() throws IOException {
+    Found read() throws IOException {
+        boolean complete = true;
         Orders found = new Orders();
         Set<String> there = new TreeSet<>();
         try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, "*" + SUFFIX)) {
             files.forEach(f -> there.add(f.getFileName().toString()));
         } catch (NoSuchFileException e) {
-            return Map.of(); // Nobody has written yet.
+            return new Found(Map.of(), true); // Nobody has written yet.
         }
         seen.retainAll(there);
         for (String name : there) {
@@ -103,27 +137,30 @@
                     orders(Files.readAllBytes(folder.resolve(name))).forEach(found::take);
                 } catch (NoSuchFileException e) {
                     seen.remove(name); // Its writer has put another in its place: that is read next time.
-                } catch (IOException | JSONException e) {
+                } catch (DamagedException | JSONException e) {
                     LOG.warning("orders in " + name + " are left out: " + e.getMessage());
+                } catch (IOException e) {
+                    seen.remove(name);
+                    complete = false;
                 }
             }
         }
-        return found.all();
+        return new Found(found.all(), complete);
     }
 
     private static Map<String, Orders.Order> orders(byte[] file) throws IOException {
         int end = 8;
         if (file.length > MOST_BYTES || file.length <= end || file[end] != '\n') {
-            throw new IOException("a file of " + file.length + " bytes without its checksum");
+            throw new DamagedException("a file of " + file.length + " bytes without its checksum");
         }
         byte[] text = new byte[file.length - end - 1];
         System.arraycopy(file, end + 1, text, 0, text.length);
         if (!checksum(text).equals(new String(file, 0, end, StandardCharsets.US_ASCII))) {
-            throw new IOException("its checksum does not fit");
+            throw new DamagedException("its checksum does not fit");
         }
         JSONObject json = new JSONObject(new String(text, StandardCharsets.UTF_8));
         if (json.getInt("version") != VERSION) {
-            throw new IOException("version " + json.getInt("version") + " is not known here");
+            throw new DamagedException("version " + json.getInt("version") + " is not known here");
         }
         Map<String, Orders.Order> orders = new HashMap<>();
         JSONObject all = json.getJSONObject("orders");
@@ -135,9 +172,13 @@
         return orders;
     }
 
-    /** Removes what the oldest lives left; what they held has been taken over by a life since. */
+    /**
+     * Removes what the oldest lives left, as what they held has been taken over by a life since, and what
+     * lives that were killed while they wrote left unfinished.
+     */
     void clean() throws IOException {
         TreeMap<Long, Path> byAge = new TreeMap<>();
+        removeUnfinished();
         try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, "*" + SUFFIX)) {
             for (Path f : files) {
                 byAge.merge(Files.getLastModifiedTime(f).toMillis(), f, (a, b) -> a);
@@ -149,4 +190,18 @@
             Files.deleteIfExists(byAge.pollFirstEntry().getValue());
         }
     }
+
+    /** Only old ones: a life beside this one may be writing. */
+    private void removeUnfinished() throws IOException {
+        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, "*" + UNFINISHED)) {
+            for (Path f : files) {
+                long ageMs = System.currentTimeMillis() - Files.getLastModifiedTime(f).toMillis();
+                if (ageMs > UNFINISHED_MS) {
+                    Files.deleteIfExists(f);
+                }
+            }
+        } catch (NoSuchFileException e) {
+            return; // Nobody has written yet.
+        }
+    }
 }
--- a/pooler/src/main/java/frostreel/net/ClientConnection.java
+++ b/pooler/src/main/java/frostreel/net/ClientConnection.java
@@ -5,6 +5,7 @@
 import frostreel.broker.Caller;
 import frostreel.broker.Deadlines;
 import frostreel.broker.SlotTable;
+import frostreel.log.EventLog;
 import frostreel.operation.Door;
 import frostreel.pg.MessageReader;
 import frostreel.pg.Messages;
@@ -216,6 +217,8 @@
             if (stream.waiting() < waiting) {
                 awaitReader();
             } else {
+                loop.events().tell(EventLog.Kind.CLIENT_CLOSED, () -> "it takes nothing of its answer, "
+                        + waiting + " bytes wait");
                 close();
             }
         });
@@ -391,6 +394,7 @@
     }
 
     private void fatal(String code, String text) {
+        loop.events().tell(EventLog.Kind.CLIENT_CLOSED, () -> "in " + phase + ": " + text);
         stream.write(Messages.error(true, code, text, null));
         leave();
     }
--- a/pooler/src/main/java/frostreel/net/Loop.java
+++ b/pooler/src/main/java/frostreel/net/Loop.java
@@ -2,6 +2,7 @@
 
 import frostreel.broker.Clock;
 import frostreel.broker.Deadlines;
+import frostreel.log.EventLog;
 import frostreel.stats.Counters;
 import java.io.IOException;
 import java.nio.ByteBuffer;
@@ -32,6 +33,8 @@
      */
     private static final long BEAT_US = 200_000;
     private static final long LATE_US = 2 * BEAT_US;
+    private final LoopWatchdog watchdog;
+    private final EventLog events;
     private final XnioWorker worker;
     private final XnioIoThread thread;
     private final Clock clock;
@@ -62,6 +65,8 @@
                 .set(Options.WORKER_TASK_CORE_THREADS, 1).set(Options.WORKER_TASK_MAX_THREADS, 1)
                 .set(Options.WORKER_NAME, "frostreel").getMap());
         thread = worker.getIoThread();
+        events = new EventLog(clock::now);
+        watchdog = new LoopWatchdog(thread);
     }
 
     private void wakeAfter(long us) {
@@ -110,8 +115,14 @@
         }
     }
 
-    /** Begins to watch over the loop's own lateness; on its thread, before anything comes from outside. */
-    public void beat() {
+    /** Begins to watch over the loop, from outside too; on its thread, before anything comes from outside. */
+    public void begin() {
+        watchdog.start();
+        beat();
+    }
+
+    private void beat() {
+        watchdog.beat();
         lateSinceUs = clock.now() - beatUs > LATE_US ? beatUs : Long.MAX_VALUE;
         beatUs = clock.now();
         deadlines.after(BEAT_US, this::beat);
@@ -138,6 +149,7 @@
 
     /** Ends the thread and waits, a little at the most, until it has ended. */
     public void end() throws InterruptedException {
+        watchdog.end();
         thread.execute(() -> {
             ending = true;
             worker.shutdownNow();
@@ -165,6 +177,16 @@
         return counters;
     }
 
+    /** Lines on single requests and connections. */
+    public EventLog events() {
+        return events;
+    }
+
+    /** How long ago the loop last showed that it runs. */
+    public long lateUs() {
+        return clock.now() - beatUs;
+    }
+
     /** So many more bytes, or fewer, wait for sockets to take them. */
     void held(int more) {
         heldBytes += more;
--- a/pooler/src/main/java/frostreel/net/ServerConnection.java
+++ b/pooler/src/main/java/frostreel/net/ServerConnection.java
@@ -2,6 +2,7 @@
 
 import frostreel.broker.BackEnd;
 import frostreel.broker.Deadlines;
+import frostreel.log.EventLog;
 import frostreel.pg.MessageReader;
 import frostreel.pg.Messages;
 import frostreel.pg.PgException;
@@ -9,6 +10,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import org.xnio.FailedIoFuture;
 import org.xnio.IoFuture;
 import org.xnio.OptionMap;
 import org.xnio.Options;
@@ -47,14 +49,23 @@
     }
 
     void open(long timeoutUs) {
-        deadline = loop.deadlines().after(timeoutUs, () -> fail(Outcome.CONNECT_FAILED));
-        connecting = loop.thread().openStreamConnection(address, null, OPTIONS);
+        deadline = loop.deadlines().after(timeoutUs, () -> {
+            loop.events().tell(EventLog.Kind.SERVER_CONNECTION_FAILED, () -> "to " + address
+                    + ": not up in " + timeoutUs / 1000 + " ms, in " + phase);
+            fail(Outcome.CONNECT_FAILED);
+        });
+        try {
+            connecting = loop.thread().openStreamConnection(address, null, OPTIONS);
+        } catch (RuntimeException e) { // As for an address of a family that this process does not speak.
+            connecting = new FailedIoFuture<>(new IOException(e));
+        }
         connecting.addNotifier(new IoFuture.HandlingNotifier<StreamConnection, Void>() {
             @Override public void handleDone(StreamConnection connection, Void none) {
                 connected(connection);
             }
 
             @Override public void handleFailed(IOException e, Void none) {
+                loop.events().tell(EventLog.Kind.SERVER_CONNECTION_FAILED, () -> "to " + address + ": " + e);
                 fail(Outcome.CONNECT_FAILED);
             }
         }, null);
--- a/pooler/src/main/java/frostreel/net/Stream.java
+++ b/pooler/src/main/java/frostreel/net/Stream.java
@@ -82,7 +82,7 @@
         }
         try {
             task.run();
-        } catch (RuntimeException e) {
+        } catch (RuntimeException | Error e) {
             loop.counters().strayExceptions++;
             LOG.log(Level.SEVERE, "a connection's handler failed; the connection is closed", e);
             broken();
--- a/pooler/src/test/java/frostreel/control/OrderFolderTest.java
+++ b/pooler/src/test/java/frostreel/control/OrderFolderTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
+import frostreel.net.Loop;
 import frostreel.operation.Orders;
 import java.io.IOException;
 import java.nio.file.Files;
@@ -11,6 +12,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CompletableFuture;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -31,18 +33,18 @@
 
     @Test void whatOneLifeWroteTheNextFindsAndItsOwnIsNotNews() throws Exception {
         OrderFolder one = life("one");
-        assertThat(one.read()).as("nobody has written").isEmpty();
+        assertThat(one.read().orders()).as("nobody has written").isEmpty();
         one.write(OUT);
         one.write(OUT);
         assertThat(files()).as("one file a life").hasSize(1);
-        assertThat(one.read()).isEmpty();
+        assertThat(one.read().orders()).isEmpty();
         OrderFolder two = life("two");
-        assertThat(two.read()).isEqualTo(OUT);
-        assertThat(two.read()).as("read once").isEmpty();
+        assertThat(two.read().orders()).isEqualTo(OUT);
+        assertThat(two.read().orders()).as("read once").isEmpty();
         Map<String, Orders.Order> later = Map.of("server a", new Orders.Order(false, 5, 9));
         two.write(later);
-        assertThat(one.read()).isEqualTo(later);
-        assertThat(life("three").read()).as("the later order holds").isEqualTo(later);
+        assertThat(one.read().orders()).isEqualTo(later);
+        assertThat(life("three").read().orders()).as("the later order holds").isEqualTo(later);
     }
 
     @Test void aFileCutOrChangedAnywhereIsLeftOutWhole() throws Exception {
@@ -51,14 +53,14 @@
         byte[] whole = Files.readAllBytes(file);
         for (int i = 0; i < whole.length; i += 1 + i / 16) { // Every byte of its head, and some of the rest.
             Files.write(file, Arrays.copyOf(whole, i));
-            assertThat(life("two").read()).as("cut at %d", i).isEmpty();
+            assertThat(life("two").read().orders()).as("cut at %d", i).isEmpty();
             byte[] changed = whole.clone();
             changed[i] ^= 4;
             Files.write(file, changed);
-            assertThat(life("two").read()).as("changed at %d", i).isEmpty();
+            assertThat(life("two").read().orders()).as("changed at %d", i).isEmpty();
         }
         Files.write(file, whole);
-        assertThat(life("two").read()).isEqualTo(OUT);
+        assertThat(life("two").read().orders()).isEqualTo(OUT);
     }
 
     @Test void aFolderThatTakesNothingFailsAndDisturbsNobody() throws Exception {
@@ -74,10 +76,10 @@
         Path half = Files.createSymbolicLink(dir.resolve("orders/one.new"), Path.of("/dev/full"));
         assertThatThrownBy(() -> one.write(Map.of())).isInstanceOf(IOException.class)
                 .hasMessageContaining("No space left");
-        assertThat(life("two").read()).isEqualTo(OUT);
-        Files.delete(half);
+        assertThat(life("two").read().orders()).isEqualTo(OUT);
+        assertThat(half).as("what was half written takes no room").doesNotExist();
         one.write(Map.of());
-        assertThat(life("three").read()).as("room again").isEmpty();
+        assertThat(life("three").read().orders()).as("room again").isEmpty();
     }
 
     @Test void filesOfManyLivesDoNotPileUp() throws Exception {
@@ -88,6 +90,50 @@
         }
         life("last").clean();
         assertThat(files()).hasSize(16);
-        assertThat(life("last").read()).isEqualTo(OUT);
+        assertThat(life("last").read().orders()).isEqualTo(OUT);
+    }
+
+    @Test void aFileThatCannotBeReadNowIsReadOnceItCan() throws Exception {
+        life("one").write(OUT);
+        Path file = files().get(0);
+        byte[] whole = Files.readAllBytes(file);
+        Files.delete(file);
+        Files.createDirectory(file); // Reading it fails, and not for what it holds.
+        OrderFolder two = life("two");
+        assertThat(two.read().complete()).isFalse();
+        Files.delete(file);
+        Files.write(file, whole);
+        OrderFolder.Found found = two.read();
+        assertThat(found.orders()).isEqualTo(OUT);
+        assertThat(found.complete()).isTrue();
+    }
+
+    @Test void whatALifeThatWasKilledLeftHalfWrittenIsRemovedOnceItIsOld() throws Exception {
+        life("one").write(OUT);
+        Path old = Files.writeString(dir.resolve("orders/dead.new"), "half");
+        Path young = Files.writeString(dir.resolve("orders/living.new"), "half");
+        Files.setLastModifiedTime(old, FileTime.fromMillis(System.currentTimeMillis() - 120_000));
+        life("two").clean();
+        assertThat(old).doesNotExist();
+        assertThat(young).exists();
+    }
+
+    /** Orders that were answered while the disk took nothing are owed to a successor all the same. */
+    @Test void whatADiskDidNotTakeIsWrittenOnceItDoes() throws Exception {
+        Path inItsPlace = Files.writeString(dir.resolve("orders"), "a file in its place");
+        Loop loop = new Loop();
+        OrderKeeper keeper = new OrderKeeper(loop, dir.resolve("orders"), "one");
+        CompletableFuture<String> answer = new CompletableFuture<>();
+        loop.thread().execute(() -> keeper.keep(OUT, failure -> answer.complete("" + failure)));
+        assertThat(answer.get()).isEqualTo("cannot be kept for a successor");
+        Files.delete(inItsPlace);
+        OrderFolder successor = life("two");
+        Map<String, Orders.Order> found = successor.read().orders();
+        while (found.isEmpty()) {
+            Thread.onSpinWait();
+            found = successor.read().orders();
+        }
+        assertThat(found).isEqualTo(OUT);
+        loop.end();
     }
 }
