Give all processes of a pooler one clock, and hold slow discovery and odd system calls

Cause: each process anchored its clock to the wall clock at its start; after a step of that between two processes of an upgrade, commits and orders of one were of the future or long past to the other. Change: the first process leaves its anchor in the folder that they share, those after it on the same boot take it. The lab can tell whether poolers hear discovery at the end (check blind).

--- a/lab/src/main/java/frostreel/lab/processes/Conductor.java
+++ b/lab/src/main/java/frostreel/lab/processes/Conductor.java
@@ -82,11 +82,12 @@
         }
         views.close();
         long apart = apart(experiment, fleet);
+        long blind = blind(experiment, fleet);
         fleet.judge();
         List<String> crashed = fleet.crashed();
         fleet.end();
         List<String> verdicts = new ArrayList<>();
-        boolean good = judge(experiment, fleet, crashed, faults(work), apart, verdicts);
+        boolean good = judge(experiment, fleet, crashed, faults(work), apart, blind, verdicts);
         Load load = fleet.load();
         out.printf(Locale.ROOT, "asked %d, served %d, refused %d, failed %d, unanswered %d, unplaced %d, "
                 + "retries %d; median %.1f ms, 99%% %.1f ms%n", load.asked, load.served.getTotalCount(),
@@ -114,6 +115,16 @@
         return apart;
     }
 
+    /** Poolers that do not hear discovery, at the run's end; 0 where nobody asks for it. */
+    private static long blind(ProcessExperiment experiment, Fleet fleet) throws IOException {
+        long blind = 0;
+        boolean asked = experiment.checks().stream().anyMatch(c -> c.kind().equals("blind"));
+        for (int i = 0; i < experiment.poolers() && asked; i++) {
+            blind += fleet.page(i, "health").contains("discovery=answering") ? 0 : 1;
+        }
+        return blind;
+    }
+
     private static String line(Load load, int s) {
         Load.Second second = load.seconds()[s];
         return String.format(Locale.ROOT, "%4d s  asked %5d  served %5d  worth %.3f", s, second.asked,
@@ -121,7 +132,7 @@
     }
 
     private static boolean judge(ProcessExperiment experiment, Fleet fleet, List<String> crashed,
-            long faultsInLogs, long apart, List<String> verdicts) {
+            long faultsInLogs, long apart, long blind, List<String> verdicts) {
         boolean good = crashed.isEmpty() && fleet.load().foreign == 0;
         crashed.forEach(p -> verdicts.add("fail: " + p + " ended by itself"));
         if (fleet.load().foreign > 0) {
@@ -132,6 +143,7 @@
                 case "rules" -> fleet.rules().broken();
                 case "worth" -> fleet.load().worth(c.fromS(), c.toS());
                 case "apart" -> apart;
+                case "blind" -> blind;
                 case "unanswered" -> fleet.load().unanswered;
                 case "atTheDoor" -> fleet.load().atTheDoor;
                 case "killedOld" -> fleet.killed();
--- a/lab/src/test/java/frostreel/lab/processes/SystemFaultsTest.java
+++ b/lab/src/test/java/frostreel/lab/processes/SystemFaultsTest.java
@@ -56,4 +56,30 @@
                 <reset pooler="0" to="clients" atS="2.1"/><reset pooler="1" to="clients" atS="2.1"/>""",
                 "<worth fromS=\"6\" toS=\"8\" atLeast=\"0.9\"/>");
     }
+
+    /** Each answer of discovery takes longer than the pooler waits before it asks again. */
+    @Test void aSlowDiscoveryIsHeardByAProcessThatStarts() throws Exception {
+        play(12, """
+                <delay pooler="0" to="discovery" ms="1200" atS="0.5" untilS="12"/>
+                <kill pooler="0" atS="1" awayS="0.2"/>
+                <drainServer server="1" atS="3" untilS="6"/>""", "<blind atMost=\"0\"/>");
+    }
+
+    @Test void shortTransfersAndInterruptedWaitsChangeNothing() throws Exception {
+        play(6, """
+                <system pooler="0" call="WAIT" error="EINTR" times="2000" atS="0.5" untilS="5"/>
+                <system pooler="0" call="RECEIVE" error="SHORT" atS="1" untilS="3"/>
+                <system pooler="0" call="SEND" error="SHORT" atS="2" untilS="4"/>""",
+                "<unanswered atMost=\"0\"/><worth fromS=\"0\" toS=\"6\" atLeast=\"0.9\"/>");
+    }
+
+    /** The wall clock jumps by an hour under load, and before a successor starts. */
+    @Test void aSteppedWallClockMovesNoDeadlineAndNoOtherSpan() throws Exception {
+        play(9, """
+                <system pooler="0" call="WALL_CLOCK" spanMs="3600000" atS="1" untilS="3"/>
+                <system pooler="1" call="WALL_CLOCK" spanMs="3600000" back="true" atS="1" untilS="9"/>
+                <upgrade pooler="1" atS="2"/>""",
+                "<unanswered atMost=\"0\"/><worth fromS=\"0\" toS=\"9\" atLeast=\"0.9\"/>"
+                + "<upgrades atLeast=\"1\"/>");
+    }
 }
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -6,6 +6,7 @@
 import frostreel.config.HostList;
 import frostreel.control.Beside;
 import frostreel.control.CallListener;
+import frostreel.control.ClockAnchor;
 import frostreel.control.Operator;
 import frostreel.discovery.Watch;
 import frostreel.fleet.Fellows;
@@ -88,7 +89,7 @@
     Pooler(Config config, OperatorSettings operators, long knownPatienceUs, long lingerUs)
             throws IOException {
         this.knownPatienceUs = knownPatienceUs;
-        loop = new Loop();
+        loop = new Loop(ClockAnchor.clock(config.orders()));
         beside = Beside.of(config, loop.clock().now());
         loop.onBeat(beside.writes()::beat);
         pool = new ServerPool(loop, config.settings(), config.maxServerConnections());
--- a/pooler/src/main/java/frostreel/net/Loop.java
+++ b/pooler/src/main/java/frostreel/net/Loop.java
@@ -56,7 +56,8 @@
         this(Clock.system());
     }
 
-    Loop(Clock clock) throws IOException {
+    /** On a clock of the caller's. */
+    public Loop(Clock clock) throws IOException {
         this.clock = clock;
         deadlines = new Deadlines(clock, this::wakeAfter);
         lookedUs = clock.now();
