Accept on the accept thread, where the JDK's own retries hold up nobody's requests

Change: each listening socket is accepted from on XNIO's accept thread, which there was before, and each connection is handed to the I/O thread; a close accepts all that waits there first.

--- a/pooler/src/main/java/frostreel/broker/Broker.java
+++ b/pooler/src/main/java/frostreel/broker/Broker.java
@@ -86,7 +86,7 @@
     public Broker(Clock clock, Deadlines deadlines, Counters counters, BackEnd backEnd,
             Router.Settings settings,
             int maxOpen, BiFunction<Router.Settings, Router.Actions, Router> maker) {
-        this(clock, deadlines, counters, new EventLog(clock::now), backEnd, settings, maxOpen, maker,
+        this(clock, deadlines, counters, EventLog.silent(), backEnd, settings, maxOpen, maker,
                 CommitLog.NONE);
     }
 
--- a/pooler/src/main/java/frostreel/control/CallListener.java
+++ b/pooler/src/main/java/frostreel/control/CallListener.java
@@ -27,7 +27,7 @@
     public CallListener(Loop loop, Operator operator) {
         this.loop = loop;
         this.operator = operator;
-        acceptor = new Acceptor(loop, "a caller", MOST_CALLERS, this::accepted, this::spareDescriptor);
+        acceptor = new Acceptor(loop, "a caller", this::accepted, this::spareDescriptor);
     }
 
     public void open(InetSocketAddress address) throws IOException {
--- a/pooler/src/main/java/frostreel/log/EventLog.java
+++ b/pooler/src/main/java/frostreel/log/EventLog.java
@@ -1,5 +1,6 @@
 package frostreel.log;
 
+import java.util.Arrays;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import java.util.logging.Logger;
@@ -30,6 +31,13 @@
         this.nowUs = nowUs;
     }
 
+    /** Writes nothing, for those who play requests in virtual time. */
+    public static EventLog silent() {
+        EventLog log = new EventLog(() -> 0);
+        Arrays.fill(log.inSecond, MOST_A_SECOND);
+        return log;
+    }
+
     /** Writes a line, if there is room for it; only then is its text made. */
     public void tell(Kind kind, Supplier<String> text) {
         int k = kind.ordinal();
--- a/pooler/src/main/java/frostreel/net/Acceptor.java
+++ b/pooler/src/main/java/frostreel/net/Acceptor.java
@@ -3,6 +3,8 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.channels.ClosedChannelException;
+import java.util.concurrent.RejectedExecutionException;
+import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.logging.Logger;
 import org.xnio.IoUtils;
@@ -13,45 +15,47 @@
 import org.xnio.nio.TcpServers;
 
 /**
- * Owns one listening socket and accepts from it. Where the system fails an accept, as it does for want of
- * descriptors or buffers, it tries again every {@link #RETRY_US}, for as long as that lasts: whoever waits in
- * the backlog has been accepted by the system already, and is owed an answer. Used on the I/O thread.
+ * Owns one listening socket. It accepts on XNIO's accept thread, as the JDK tries an aborted accept again and
+ * again before it returns, and hands each connection to the I/O thread. Where the system fails an accept, as
+ * it does for want of descriptors or buffers, it tries again every {@link #RETRY_MS}, for as long as that
+ * lasts: whoever waits in the backlog has been accepted by the system already, and is owed an answer. Its
+ * public methods are called on the I/O thread.
  */
 public final class Acceptor {
     /** From a failed accept to the next try; it does not grow. */
-    static final long RETRY_US = 20_000;
+    static final long RETRY_MS = 20;
     private static final Logger LOG = Logger.getLogger(Acceptor.class.getName());
     private final Loop loop;
     private final String accepted;
-    private final int mostAtOnce;
     private final Consumer<StreamConnection> taker;
     private final Runnable onFailure;
     private AcceptingChannel<StreamConnection> channel;
-    /** Since when accepts have failed, 0 while they do not. */
+    /** Whether accepting was asked for; written on the I/O thread. */
+    private volatile boolean wanted;
+    // ---- Of the accept thread alone. ----
     private long failingSinceUs;
     private long failures;
-    /** Whether accepting was asked for, and whether it rests until the next try. */
-    private boolean wanted;
     private boolean retrying;
 
     /**
-     * {@code accepted}: what connects, for the log; {@code mostAtOnce}: how many are accepted in one turn,
-     * so that a storm of connections leaves time to those in hand; {@code taker}: owns each connection from
-     * then on; {@code onFailure}: frees descriptors of this process, where it can.
+     * {@code accepted}: what connects, for the log; {@code taker}: owns each connection from then on;
+     * {@code onFailure}: frees descriptors of this process, where it can. Both run on the I/O thread.
      */
-    public Acceptor(Loop loop, String accepted, int mostAtOnce, Consumer<StreamConnection> taker,
-            Runnable onFailure) {
+    public Acceptor(Loop loop, String accepted, Consumer<StreamConnection> taker, Runnable onFailure) {
         this.loop = loop;
         this.accepted = accepted;
-        this.mostAtOnce = mostAtOnce;
         this.taker = taker;
         this.onFailure = onFailure;
     }
 
-    /** Listens, with accepting suspended; where it {@code inherits}, descriptor 0 is the socket. */
+    /**
+     * Listens, with accepting suspended; where it {@code inherits}, descriptor 0 is the socket.
+     *
+     * @throws IOException where the address is taken or not ours, or the system gives no socket
+     */
     public void open(InetSocketAddress address, boolean inherits, OptionMap options) throws IOException {
-        channel = inherits ? TcpServers.inherit(loop.worker(), c -> accept(mostAtOnce), options)
-                : TcpServers.bind(loop.worker(), address, c -> accept(mostAtOnce), options);
+        channel = inherits ? TcpServers.inherit(loop.worker(), c -> accept(), options)
+                : TcpServers.bind(loop.worker(), address, c -> accept(), options);
     }
 
     /** Where it listens. */
@@ -61,13 +65,17 @@
 
     /** Accepts from now on. */
     public void resume() {
-        wanted = true;
-        if (!retrying) {
-            channel.resumeAccepts();
+        if (!wanted) {
+            wanted = true;
+            onAcceptThread(() -> {
+                if (!retrying && wanted) {
+                    channel.resumeAccepts();
+                }
+            });
         }
     }
 
-    /** Accepts nothing more for now; what waits in the backlog stays there. */
+    /** Accepts nothing more for now, but for what is being accepted; the rest stays in the backlog. */
     public void suspend() {
         wanted = false;
         channel.suspendAccepts();
@@ -78,28 +86,40 @@
      * while accepts fail, that waits too.
      */
     public void close() {
+        wanted = false;
         if (channel.isOpen()) {
-            accept(Integer.MAX_VALUE);
-            if (failingSinceUs == 0) {
-                IoUtils.safeClose(channel);
-            } else {
-                loop.deadlines().after(RETRY_US, this::close);
-            }
+            onAcceptThread(this::acceptAllAndClose);
         }
     }
 
-    private void accept(int most) {
+    private void onAcceptThread(Runnable task) {
         try {
-            for (int i = 0; i < most; i++) {
-                StreamConnection c = channel.accept();
-                if (c == null) {
-                    if (AcceptBackOff.isOn(channel)) {
-                        failed();
-                    }
-                    return;
-                }
+            AcceptBackOff.thread(channel).execute(task);
+        } catch (RejectedExecutionException e) {
+            LOG.fine("the program ends, and accepts nothing more");
+        }
+    }
+
+    // ---- On the accept thread. ----
+
+    private void acceptAllAndClose() {
+        accept();
+        if (failingSinceUs == 0) {
+            IoUtils.safeClose(channel);
+        } else {
+            AcceptBackOff.thread(channel).executeAfter(this::acceptAllAndClose, RETRY_MS,
+                    TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void accept() {
+        try {
+            for (StreamConnection c = channel.accept(); c != null; c = channel.accept()) {
                 recovered();
-                taker.accept(c);
+                handOver(c);
+            }
+            if (AcceptBackOff.isOn(channel)) {
+                failed();
             }
         } catch (ClosedChannelException e) {
             LOG.fine("the listening socket is closed");
@@ -108,18 +128,28 @@
         }
     }
 
+    private void handOver(StreamConnection c) {
+        try {
+            loop.thread().execute(() -> taker.accept(c));
+        } catch (RejectedExecutionException e) {
+            IoUtils.safeClose(c); // The program ends.
+        }
+    }
+
     private void failed() {
-        loop.counters().acceptFailures++;
         failures++;
         if (failingSinceUs == 0) {
             failingSinceUs = loop.clock().now();
-            LOG.warning("accepting " + accepted + " fails; tried again every " + RETRY_US / 1000 + " ms");
+            LOG.warning("accepting " + accepted + " fails; tried again every " + RETRY_MS + " ms");
         }
-        onFailure.run();
+        loop.thread().execute(() -> {
+            loop.counters().acceptFailures++;
+            onFailure.run();
+        });
         if (!retrying) {
             retrying = true;
             channel.suspendAccepts(); // Or XNIO's own timers, one from each failure, would try in between.
-            loop.deadlines().after(RETRY_US, this::retry);
+            AcceptBackOff.thread(channel).executeAfter(this::retry, RETRY_MS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/pooler/src/main/java/frostreel/net/Listener.java
+++ b/pooler/src/main/java/frostreel/net/Listener.java
@@ -24,8 +24,6 @@
     private static final int BACKLOG = 1024;
     /** Queries longer than this ask for no page, and are not looked up. */
     private static final int MOST_PAGE_BYTES = 32;
-    /** So many are accepted in one turn, so that a storm of connections leaves time to those in hand. */
-    private static final int ACCEPTS_AT_ONCE = 32;
     /** So many descriptors are kept free by closing clients that ask for nothing. */
     private static final int ROOM = 16;
     /** With so few left, those that were told to leave are not waited for. */
@@ -70,7 +68,7 @@
         usualBound = usualClients * 3 / 4;
         idleBound = usualClients / 3;
         clients = new SlotTable<>(maxClients + 1);
-        acceptor = new Acceptor(loop, "a client", ACCEPTS_AT_ONCE, this::accepted, this::spareDescriptors);
+        acceptor = new Acceptor(loop, "a client", this::accepted, this::spareDescriptors);
     }
 
     /**
--- a/pooler/src/main/java/org/xnio/nio/TcpServers.java
+++ b/pooler/src/main/java/org/xnio/nio/TcpServers.java
@@ -12,9 +12,10 @@
 import org.xnio.channels.AcceptingChannel;
 
 /**
- * Makes XNIO accept from a listening socket that is open already. XNIO has no public way to take one, and its
- * own hides behind a queue what {@link AcceptBackOff} has to see; the constructor used here is this package's
- * own, and is to be looked at when XNIO is renewed.
+ * Makes XNIO's accept thread accept from a listening socket that is open already, and call the listener on
+ * that thread. XNIO has no public way to take one, and its own hides behind a queue what
+ * {@link AcceptBackOff} has to see; the constructor used here is this package's own, and is to be looked at
+ * when XNIO is renewed.
  */
 public final class TcpServers {
     private static final int BACKLOG = 1024;
@@ -60,7 +61,7 @@
             ServerSocketChannel channel, ChannelListener<? super AcceptingChannel<StreamConnection>> listener,
             OptionMap options) throws IOException {
         channel.configureBlocking(false);
-        NioTcpServer server = new NioTcpServer((NioXnioWorker) worker, channel, options, false);
+        NioTcpServer server = new NioTcpServer((NioXnioWorker) worker, channel, options, true);
         server.setAcceptListener(listener);
         return server;
     }
