--- a/pooler/src/main/java/frostreel/control/CallListener.java
+++ b/pooler/src/main/java/frostreel/control/CallListener.java
@@ -27,7 +27,7 @@
     public CallListener(Loop loop, Operator operator) {
         this.loop = loop;
         this.operator = operator;
-        acceptor = new Acceptor(loop, "a caller", this::accepted, this::spareDescriptor);
+        acceptor = new Acceptor(loop, "a caller", this::accepted);
     }
 
     public void open(InetSocketAddress address) throws IOException {
@@ -49,13 +49,6 @@
         caller.begin();
     }
 
-    /** An accept failed, perhaps for want of descriptors: the longest silent caller gives its own up. */
-    private void spareDescriptor() {
-        if (!callers.isEmpty()) {
-            callers.iterator().next().silent();
-        }
-    }
-
     Operator operator() {
         return operator;
     }
--- a/pooler/src/main/java/frostreel/net/Acceptor.java
+++ b/pooler/src/main/java/frostreel/net/Acceptor.java
@@ -28,7 +28,6 @@
     private final Loop loop;
     private final String accepted;
     private final Consumer<StreamConnection> taker;
-    private final Runnable onFailure;
     private AcceptingChannel<StreamConnection> channel;
     /** Whether accepting was asked for; written on the I/O thread. */
     private volatile boolean wanted;
@@ -38,14 +37,13 @@
     private boolean retrying;
 
     /**
-     * {@code accepted}: what connects, for the log; {@code taker}: owns each connection from then on;
-     * {@code onFailure}: frees descriptors of this process, where it can. Both run on the I/O thread.
+     * {@code accepted}: what connects, for the log; {@code taker}: owns each connection from then on, and
+     * runs on the I/O thread.
      */
-    public Acceptor(Loop loop, String accepted, Consumer<StreamConnection> taker, Runnable onFailure) {
+    public Acceptor(Loop loop, String accepted, Consumer<StreamConnection> taker) {
         this.loop = loop;
         this.accepted = accepted;
         this.taker = taker;
-        this.onFailure = onFailure;
     }
 
     /**
@@ -142,10 +140,7 @@
             failingSinceUs = loop.clock().now();
             LOG.warning("accepting " + accepted + " fails; tried again every " + RETRY_MS + " ms");
         }
-        loop.thread().execute(() -> {
-            loop.counters().acceptFailures++;
-            onFailure.run();
-        });
+        loop.thread().execute(() -> loop.counters().acceptFailures++);
         if (!retrying) {
             retrying = true;
             channel.suspendAccepts(); // Or XNIO's own timers, one from each failure, would try in between.
--- a/pooler/src/main/java/frostreel/net/Listener.java
+++ b/pooler/src/main/java/frostreel/net/Listener.java
@@ -68,7 +68,7 @@
         usualBound = usualClients * 3 / 4;
         idleBound = usualClients / 3;
         clients = new SlotTable<>(maxClients + 1);
-        acceptor = new Acceptor(loop, "a client", this::accepted, this::spareDescriptors);
+        acceptor = new Acceptor(loop, "a client", this::accepted);
     }
 
     /**
@@ -104,16 +104,6 @@
         client.begin();
     }
 
-    /** An accept failed, perhaps for want of descriptors: clients that ask for nothing give theirs up. */
-    private void spareDescriptors() {
-        if (!leaving.isEmpty()) {
-            leaving.iterator().next().close();
-        }
-        if (!idle.isEmpty() && idle.iterator().next().leaveUnlessAsking()) {
-            loop.counters().clientsEvicted++;
-        }
-    }
-
     /** Withdraws the request that the client of that key has in hand; another key does nothing. */
     void cancel(int process, int secret) {
         clients.forEach(c -> c.cancel(process, secret));
