Show writes that run twice: two new configurations in quick succession forget a class

review/2: a class that may not be repeated becomes repeatable at one SIGHUP, and another SIGHUP follows 0.4 s later. Requests of the old class, sent within the 1.2 s in which clients still follow it, are sent again after a reset.

--- a/review/lib/Db.java
+++ b/review/lib/Db.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.function.Predicate;
 
 /** A db server: welcomes any user at once, runs one statement at a time on a connection, tells role, position, load. */
 public class Db {
@@ -22,6 +23,9 @@
     public volatile boolean hung;
     public volatile byte[] value = new byte[32];
 
+    /** Which statements, once they have run, end with a reset of their connection. */
+    public volatile Predicate<String> resetAfter = sql -> false;
+
     public record Begun(double atMs, String sql) {}
 
     public final List<Begun> begun = new CopyOnWriteArrayList<>();
@@ -83,8 +87,9 @@
                     out.write(Kit.join(Kit.row(load().getBytes(StandardCharsets.US_ASCII), false), Kit.ready()));
                 } else if (sql.equals("SELECT 1")) {
                     out.write(Kit.join(Kit.row(new byte[] {'1'}, false), Kit.ready()));
-                } else {
-                    statement(sql, out);
+                } else if (!statement(sql, out)) {
+                    socket.setSoLinger(true, 0); // Closes with a reset.
+                    return;
                 }
             }
         } finally {
@@ -92,17 +97,22 @@
         }
     }
 
-    protected void statement(String sql, OutputStream out) throws Exception {
+    /** Runs a statement; returns whether it was answered, or the connection is to be reset after it has run. */
+    protected boolean statement(String sql, OutputStream out) throws Exception {
         boolean write = sql.startsWith("INSERT");
         begun.add(new Begun(Kit.ms(), sql.length() > 400 ? sql.substring(0, 60) + "..." + sql.substring(sql.lastIndexOf("/*")) : sql));
         if (write && !primary) {
             out.write(Kit.join(Kit.error("25006", "no primary"), status(), Kit.ready()));
-            return;
+            return true;
         }
         Thread.sleep(workMs);
         while (hung) {
             Thread.sleep(5);
         }
+        if (resetAfter.test(sql)) {
+            return false;
+        }
         out.write(Kit.join(Kit.row(value, write), status(), Kit.ready()));
+        return true;
     }
 }
