--- a/review/1/Case1.java
+++ b/review/1/Case1.java
@@ -35,6 +35,7 @@
                 String sql = Kit.write("k" + number, VALUE, id, "payment-post", 3000, "f" + id, number % 3 + 1);
                 try {
                     Kit.Client client = new Kit.Client(small.port, 10_000);
+                    Kit.note(id + " payment-post, 64 KiB: sent");
                     Kit.Answer answer = client.ask(sql);
                     Kit.note(id + " payment-post, 64 KiB: " + answer.kind() + " " + answer.code());
                     switch (answer.kind()) {
@@ -63,6 +64,12 @@
         boolean alive = small.pooler.process.isAlive();
         String counts = served + " served, " + refused + " refused or failed, " + unanswered
                 + " without an answer, " + kept.size() + " connections kept by clients";
+        for (Db db : small.dbs) {
+            db.begun.stream()
+                    .filter(begun -> begun.sql().startsWith("INSERT"))
+                    .forEach(begun -> Kit.note(db.name + " ran " + Kit.field(begun.sql(), "id") + " at "
+                            + String.format("%.1f", begun.atMs())));
+        }
         Kit.note(counts);
         small.pooler.logTail(12);
         if (alive) {
