--- a/review/lib/Kit.java
+++ b/review/lib/Kit.java
@@ -70,9 +70,16 @@
         void run() throws Exception;
     }
 
-    public static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
-            return socket.getLocalPort();
+    private static final java.util.Set<Integer> GIVEN = new java.util.HashSet<>();
+
+    /** A free port that this case has not been given before. */
+    public static synchronized int freePort() throws IOException {
+        while (true) {
+            try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getByName("127.0.0.1"))) {
+                if (GIVEN.add(socket.getLocalPort())) {
+                    return socket.getLocalPort();
+                }
+            }
         }
     }
 
@@ -277,10 +284,13 @@
 
     // ---- Discovery. ----
 
+    /** The kind of machine by host; "standard" for all others. */
+    public static final Map<String, String> KINDS = new java.util.concurrent.ConcurrentHashMap<>();
+
     /** An entry of the list. */
     public record Host(String host, String dial, int block, String health, String role, long bornMs) {
         public String json() {
-            return "{\"host\":\"" + host + "\",\"dial\":\"" + dial + "\",\"site\":\"kamloops-dc\",\"class\":\"standard\","
+            return "{\"host\":\"" + host + "\",\"dial\":\"" + dial + "\",\"site\":\"kamloops-dc\",\"class\":\"" + KINDS.getOrDefault(host, "standard") + "\","
                     + "\"block\":" + block + ",\"health\":\"" + health + "\",\"share\":1.0,\"born_ms\":" + bornMs
                     + ",\"role\":\"" + role + "\"}";
         }
