--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -58,7 +58,7 @@
             replace(small, settings("retryable", 8));
         }
         Thread.sleep(200);
-        // From 0.6 s to 1.08 s after the first SIGHUP: clients use the new class 1.2 s after it.
+        // From 0.6 s to about 1 s after the first SIGHUP: clients use the new class 1.2 s after it.
         CountDownLatch ended = new CountDownLatch(REFUNDS);
         double lastSent = 0;
         for (int i = 0; i < REFUNDS; i++) {
@@ -77,7 +77,7 @@
                 }
             });
             lastSent = Kit.ms() - first;
-            Thread.sleep(20);
+            Thread.sleep(15);
         }
         if (!ended.await(10, TimeUnit.SECONDS)) {
             Kit.end(2, "a client did not end");
