Show in SHOW health how much memory the buffers of connections hold

Change: BufferMemory adds up what the owners of buffers report, in place of a sum in EventLoop; buffered_bytes and buffered_peak_bytes of SHOW health.

--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -193,7 +193,9 @@
                 + " open_requests=" + broker.openRequests()
                 + " open_clients=" + listener.openClients()
                 + " loop_late_ms=" + loop.sinceHeartbeatUs() / MICROS_PER_MILLI
-                + " log_lines_dropped=" + Logging.dropped();
+                + " log_lines_dropped=" + Logging.dropped()
+                + " buffered_bytes=" + loop.buffers().heldBytes()
+                + " buffered_peak_bytes=" + loop.buffers().peakBytes();
     }
 
     private void start() {
--- a/pooler/src/main/java/frostreel/backend/LongRowForwarder.java
+++ b/pooler/src/main/java/frostreel/backend/LongRowForwarder.java
@@ -16,6 +16,7 @@
     private final Deadlines deadlines;
     private final Runnable onStalled;
     private BackEnd.ResponseStream target;
+
     private int remainingBytes;
     private boolean receivedSinceCheck;
     private Deadlines.Deadline nextCheck;
--- a/pooler/src/main/java/frostreel/frontend/ClientBacklog.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientBacklog.java
@@ -3,6 +3,7 @@
 import frostreel.net.EventLoop;
 import frostreel.pg.MessageReader;
 import frostreel.pg.PgException;
+import frostreel.util.BufferMemory;
 import java.nio.ByteBuffer;
 
 /**
@@ -23,8 +24,7 @@
     private final EventLoop loop;
     private final MessageReader reader = new MessageReader(ClientBacklog::maxLength);
     private final ArrivalTimes arrivals = new ArrivalTimes();
-    /** The memory of this backlog that is included in the buffered bytes of the event loop. */
-    private int countedBytes;
+    private final BufferMemory.Account memory;
     /** The end of the previous read of the socket. */
     private long readCompletedUs;
 
@@ -33,6 +33,7 @@
 
     ClientBacklog(EventLoop loop) {
         this.loop = loop;
+        memory = loop.buffers().account();
     }
 
     private static int maxLength(byte type) {
@@ -79,7 +80,7 @@
      * {@link LingeringClose#MAX_DROPPED_BYTES}, so that a disconnect is detected; beyond that, reading is suspended.
      */
     boolean checkOverrun() {
-        overrun = reader.buffered() > (loop.buffersAreFull() ? MAX_BYTES_WHEN_BUFFERS_ARE_FULL : MAX_BYTES);
+        overrun = reader.buffered() > (loop.buffers().holdsBackInput() ? MAX_BYTES_WHEN_BUFFERS_ARE_FULL : MAX_BYTES);
         return overrun;
     }
 
@@ -88,18 +89,13 @@
         return overrun;
     }
 
-    /** Updates the buffered bytes of the event loop to the current memory of this backlog. */
+    /** Reports the current memory of this backlog. */
     void countMemory() {
-        count(reader.memoryBytes() + arrivals.memoryBytes());
+        memory.set(reader.memoryBytes() + arrivals.memoryBytes());
     }
 
-    /** Removes the memory of this backlog, which is no longer used, from the buffered bytes of the event loop. */
+    /** Reports that the memory of this backlog is no longer used. */
     void release() {
-        count(0);
-    }
-
-    private void count(int bytes) {
-        loop.addBufferedBytes(bytes - countedBytes);
-        countedBytes = bytes;
+        memory.set(0);
     }
 }
--- a/pooler/src/main/java/frostreel/frontend/ClientRequest.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientRequest.java
@@ -101,7 +101,7 @@
         responseSource = source;
         return piece -> {
             stream.write(piece);
-            if (stream.pendingBytes() > MAX_PENDING_BYTES || (loop.buffersAreFull() && !stream.flushed())) {
+            if (stream.pendingBytes() > MAX_PENDING_BYTES || (loop.buffers().holdsBackInput() && !stream.flushed())) {
                 source.pause();
             }
         };
--- a/pooler/src/main/java/frostreel/net/EventLoop.java
+++ b/pooler/src/main/java/frostreel/net/EventLoop.java
@@ -4,6 +4,7 @@
 import frostreel.stats.Counters;
 import frostreel.time.Clock;
 import frostreel.time.Deadlines;
+import frostreel.util.BufferMemory;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.concurrent.TimeUnit;
@@ -21,8 +22,6 @@
  */
 public final class EventLoop {
     private static final int READ_BUFFER_BYTES = 1 << 16;
-    /** A quarter of the heap; the rest is left to statements, short responses, tables and the garbage collector. */
-    private static final long MAX_BUFFERED_BYTES = Runtime.getRuntime().maxMemory() / 4;
 
     private static final long SHUTDOWN_WAIT_S = 1;
     private static final long US_PER_MS = 1_000;
@@ -36,12 +35,12 @@
     private final WatchEventPoll watchEventPoll;
     private final EventLog events;
     private final Counters counters = new Counters();
+    private final BufferMemory buffers = BufferMemory.ofThisProcess();
     private final ByteBuffer readBuffer = ByteBuffer.allocateDirect(READ_BUFFER_BYTES);
     /** XNIO's timer for the earliest deadline, null if none is set. */
     private XnioExecutor.Key wakeTimer;
 
     private boolean shuttingDown;
-    private long bufferedBytes;
 
     /** Creates an event loop that uses the system clock. */
     public EventLoop() throws IOException {
@@ -172,14 +171,9 @@
         return heartbeat.sinceLastUs();
     }
 
-    /** Changes the count of bytes that are buffered for slow clients and servers; a negative change reduces it. */
-    public void addBufferedBytes(int change) {
-        bufferedBytes += change;
-    }
-
-    /** Whether the buffered bytes exceed their share of the heap. */
-    public boolean buffersAreFull() {
-        return bufferedBytes > MAX_BUFFERED_BYTES;
+    /** The memory of the buffers of everything that runs on this loop. */
+    public BufferMemory buffers() {
+        return buffers;
     }
 
     /** The cleared read buffer; its content is valid until the next call. */
--- a/pooler/src/main/java/frostreel/net/SocketStream.java
+++ b/pooler/src/main/java/frostreel/net/SocketStream.java
@@ -1,5 +1,6 @@
 package frostreel.net;
 
+import frostreel.util.BufferMemory;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -44,6 +45,9 @@
     private final ConduitStreamSinkChannel sink;
     private final Handler handler;
     private final ArrayDeque<ByteBuffer> output = new ArrayDeque<>();
+    /** The memory of {@link #output}. */
+    private final BufferMemory.Account outputMemory;
+
     private int pendingBytes;
     /** Number of reads that have returned bytes. */
     private long successfulReads;
@@ -58,6 +62,7 @@
         this.loop = loop;
         this.connection = connection;
         this.handler = handler;
+        outputMemory = loop.buffers().account();
         source = connection.getSourceChannel();
         sink = connection.getSinkChannel();
         source.setReadListener(channel -> runGuarded(this::onReadable));
@@ -229,7 +234,7 @@
 
     private void addPendingBytes(int change) {
         pendingBytes += change;
-        loop.addBufferedBytes(change);
+        outputMemory.set(pendingBytes);
     }
 
     // ---- End of the connection. ----
--- a/pooler/src/test/java/frostreel/StatusPagesTest.java
+++ b/pooler/src/test/java/frostreel/StatusPagesTest.java
@@ -1,11 +1,13 @@
 package frostreel;
 
+import static frostreel.TestMessages.query;
 import static frostreel.TestMessages.readSql;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import frostreel.config.Config;
 import frostreel.log.Logging;
 import frostreel.settings.OperatorSettings;
+import java.io.IOException;
 import java.util.List;
 import java.util.Optional;
 import java.util.logging.Level;
@@ -13,6 +15,8 @@
 
 /** The {@code SHOW} pages of a serving pooler. */
 class StatusPagesTest extends AbstractPoolerTest {
+    private static final int UNREAD_BYTES = 100_000;
+
     @Test
     void showStatsReturnsTheCounters() throws Exception {
         start();
@@ -25,6 +29,24 @@
         }
     }
 
+    @Test
+    void showHealthReportsTheMemoryOfUnreadInput() throws Exception {
+        withholdResponses();
+        start();
+        try (WireConnection waiting = harness.client();
+                WireConnection observer = harness.client()) {
+            waiting.send(query(readSql("1", 9000)), new byte[UNREAD_BYTES]);
+            while (healthValue(observer, "buffered_bytes") < UNREAD_BYTES) {
+                Thread.onSpinWait(); // Until the input behind the request in progress has been read.
+            }
+            assertThat(healthValue(observer, "buffered_peak_bytes")).isGreaterThanOrEqualTo(UNREAD_BYTES);
+        }
+    }
+
+    private static long healthValue(WireConnection client, String key) throws IOException {
+        return Long.parseLong(value(client.execute("SHOW health")).replaceAll(".* " + key + "=(\\d+).*", "$1"));
+    }
+
     @Test
     void readsFollowZoneTiersAndShowZonesReportsThem() throws Exception {
         harness.operatorSettings = new OperatorSettings(
--- a/pooler/src/test/java/frostreel/frontend/ClientBacklogTest.java
+++ b/pooler/src/test/java/frostreel/frontend/ClientBacklogTest.java
@@ -65,8 +65,8 @@
 
     @Test
     void overrunsSoonerWhileTheBuffersOfAllClientsAreFull() {
-        while (!loop.buffersAreFull()) {
-            loop.addBufferedBytes(Integer.MAX_VALUE);
+        while (!loop.buffers().holdsBackInput()) {
+            loop.buffers().account().set(Integer.MAX_VALUE);
         }
         read(new byte[64 * KIB]);
         assertThat(backlog.checkOverrun()).isFalse();
