Give back a client's input buffer when its messages are taken, not at its next bytes

Cause: MessageReader doubled its buffer to 256 KiB for such a statement, and gave it back in feed(), that is with the client's next bytes. A client that sends nothing more kept it. The memory was counted, but for idle clients nothing followed from the count.

Change: the owner calls trim() once it has taken messages; release() at the close, where a lingering connection kept the buffer too. The buffer grows by a quarter. Why it works: an idle client holds 2 KiB from the moment at which its last message is taken, whatever it does afterwards.

--- a/pooler/src/main/java/frostreel/frontend/ClientBacklog.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientBacklog.java
@@ -89,13 +89,15 @@
         return overrun;
     }
 
-    /** Reports the current memory of this backlog. */
-    void countMemory() {
+    /** Gives back the memory of the messages that were taken, and reports the rest. */
+    void trim() {
+        reader.trim();
         memory.set(reader.memoryBytes() + arrivals.memoryBytes());
     }
 
-    /** Reports that the memory of this backlog is no longer used. */
+    /** Discards the input and gives back its memory, as no further message is taken. */
     void release() {
+        reader.release();
         memory.set(0);
     }
 }
--- a/pooler/src/main/java/frostreel/frontend/ClientInput.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientInput.java
@@ -62,7 +62,7 @@
         } finally {
             takingMessages = false;
             if (connection.isOpen()) {
-                backlog.countMemory();
+                backlog.trim();
             } else {
                 backlog.release();
             }
@@ -119,7 +119,7 @@
         return backlog.isOverrun();
     }
 
-    /** Releases the memory of input that is no longer needed. */
+    /** Discards the input, of which no further message is taken, and gives back its memory. */
     void release() {
         backlog.release();
     }
--- a/pooler/src/main/java/frostreel/pg/MessageReader.java
+++ b/pooler/src/main/java/frostreel/pg/MessageReader.java
@@ -6,7 +6,8 @@
 
 /**
  * Splits the byte stream of a connection, which arrives in pieces of any size, into messages. It buffers the bytes that
- * are not yet consumed. Each connection has its own; used only on the I/O thread.
+ * are not yet consumed; the owner calls {@link #trim} once it has consumed messages, so that an idle connection does
+ * not keep the buffer of a long one. Each connection has its own; used only on the I/O thread.
  */
 public final class MessageReader {
     /** Maximum message length by type. */
@@ -19,6 +20,13 @@
     }
 
     private static final int INITIAL_BUFFER_BYTES = 2048;
+    /**
+     * A buffer grows by at least a quarter of its size, which bounds both the bytes copied and the bytes unused while a
+     * long message arrives in small pieces.
+     */
+    private static final int GROWTH_DIVISOR = 4;
+
+    private static final byte[] NO_BUFFER = {};
     /** Size of the type and the length that precede the body of a message. */
     public static final int HEADER_BYTES = 5;
     /** Size of the column count and the first column's length at the beginning of a row. */
@@ -40,35 +48,53 @@
 
     /** Appends all remaining bytes of {@code in} to the buffer. */
     public void feed(ByteBuffer in) {
+        int added = in.remaining();
         if (from == to) {
             from = 0;
             to = 0;
-            if (buffer.length > INITIAL_BUFFER_BYTES && in.remaining() <= INITIAL_BUFFER_BYTES) {
-                // A connection must not keep the large buffer of a long message.
-                buffer = new byte[INITIAL_BUFFER_BYTES];
-            }
         }
-        int added = in.remaining();
         if (to + added > buffer.length) {
-            int buffered = to - from;
-            byte[] target = buffered + added <= buffer.length
-                    ? buffer
-                    : new byte[Math.max(2 * buffer.length, buffered + added)];
-            System.arraycopy(buffer, from, target, 0, buffered);
-            buffer = target;
-            from = 0;
-            to = buffered;
+            makeRoom(added);
         }
         in.get(buffer, to, added);
         to += added;
     }
 
+    private void makeRoom(int added) {
+        int needed = buffered() + added;
+        boolean fits = needed <= buffer.length;
+        moveTo(fits ? buffer : new byte[Math.max(needed, buffer.length + buffer.length / GROWTH_DIVISOR)]);
+    }
+
+    /** Moves the buffered bytes to the beginning of an array, which may be the present one, and uses that. */
+    private void moveTo(byte[] target) {
+        int buffered = buffered();
+        System.arraycopy(buffer, from, target, 0, buffered);
+        buffer = target;
+        from = 0;
+        to = buffered;
+    }
+
+    /** Gives back memory of consumed messages if that is at least half of the buffer. Ends the current message. */
+    public void trim() {
+        if (buffer.length > INITIAL_BUFFER_BYTES && buffered() <= buffer.length / 2) {
+            moveTo(new byte[Math.max(INITIAL_BUFFER_BYTES, buffered())]);
+        }
+    }
+
+    /** Discards all buffered bytes and gives back the whole buffer, as its connection needs no further message. */
+    public void release() {
+        buffer = NO_BUFFER;
+        from = 0;
+        to = 0;
+    }
+
     /** Number of bytes that are not yet consumed. */
     public int buffered() {
         return to - from;
     }
 
-    /** Size of the buffer, which may be more than twice the number of buffered bytes. */
+    /** Size of the buffer in bytes. */
     public int memoryBytes() {
         return buffer.length;
     }
--- /dev/null
+++ b/pooler/src/test/java/frostreel/IdlePeerMemoryTest.java
@@ -0,0 +1,63 @@
+package frostreel;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+
+/** The memory that a process holds for clients and servers that have nothing to send. */
+class IdlePeerMemoryTest extends AbstractPoolerTest {
+    /** A heap that holds the program, but not 256 KiB for each client. */
+    private static final List<String> SMALL_HEAP = List.of("-Xmx32m", "-XX:+ExitOnOutOfMemoryError");
+
+    private static final int DESCRIPTORS = 512;
+    /** Under three quarters of the expected clients, a third of the descriptors, so that no idle client is closed. */
+    private static final int CLIENTS = 120;
+    /** The longest value of a write, which is sent as hexadecimal text. */
+    private static final String LONG_VALUE = "a7".repeat(1 << 16);
+    /** The size of a connection's buffers before its first long message, with as much again for the rest. */
+    private static final int IDLE_CONNECTION_BYTES = 4096;
+
+    private final List<WireConnection> clients = new ArrayList<>();
+
+    @AfterEach
+    void closeClients() throws IOException {
+        for (WireConnection client : clients) {
+            client.close();
+        }
+    }
+
+    private WireConnection connect(int port) throws IOException {
+        WireConnection client = PoolerHarness.client(port);
+        clients.add(client);
+        return client;
+    }
+
+    private static String longWriteSql(String id) {
+        return TestMessages.writeSql(id, 9000).replace("9f03", LONG_VALUE);
+    }
+
+    private static long bufferedBytes(WireConnection client) throws IOException {
+        String health = value(client.execute("SHOW health"));
+        return Long.parseLong(health.replaceAll(".* buffered_bytes=(\\d+).*", "$1"));
+    }
+
+    /** Guards against a crash: each client that had written a long value kept 256 KiB until it sent again. */
+    @Test
+    void clientsThatWroteOneLongValueHoldNoMemory() throws Exception {
+        String configuration = configuration().replace("\"sockets\":128", "\"sockets\":" + DESCRIPTORS);
+        try (ServeProcess process =
+                ServeProcess.startWithJvmOptions(SMALL_HEAP, PoolerHarness.environment(configuration))) {
+            int port = process.awaitPort();
+            process.awaitReady();
+            for (int i = 0; i < CLIENTS; i++) {
+                List<String> response = connect(port).execute(longWriteSql("write" + i));
+                assertThat(value(response)).isEqualTo("from-primary");
+            }
+            assertThat(bufferedBytes(connect(port))).isLessThan((CLIENTS + 1L) * IDLE_CONNECTION_BYTES);
+        }
+    }
+}
--- a/pooler/src/test/java/frostreel/frontend/ClientBacklogTest.java
+++ b/pooler/src/test/java/frostreel/frontend/ClientBacklogTest.java
@@ -8,6 +8,7 @@
 import frostreel.pg.PgException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -74,6 +75,44 @@
         assertThat(backlog.checkOverrun()).isTrue();
     }
 
+    /** Guards against buffers of long messages that stay allocated while their client is idle. */
+    @Test
+    void givesBackTheMemoryOfTakenMessages() throws Exception {
+        long idleBytes = loop.buffers().heldBytes();
+        read(query("x".repeat(128 * KIB)));
+        backlog.trim();
+        assertThat(loop.buffers().heldBytes()).isGreaterThan(128 * KIB);
+
+        assertThat(backlog.next(false)).isTrue();
+        backlog.trim();
+
+        assertThat(loop.buffers().heldBytes() - idleBytes).isLessThanOrEqualTo(4 * KIB);
+    }
+
+    @Test
+    void keepsTheBytesBehindATakenMessageWhenMemoryIsGivenBack() throws Exception {
+        byte[] next = query("next");
+        read(query("x".repeat(128 * KIB)));
+        read(Arrays.copyOf(next, next.length - 1));
+        assertThat(backlog.next(false)).isTrue();
+
+        backlog.trim();
+        read(new byte[] {next[next.length - 1]});
+
+        assertThat(backlog.next(false)).isTrue();
+        assertThat(backlog.message().body()).isEqualTo("next\0".getBytes(StandardCharsets.US_ASCII));
+    }
+
+    /** Guards against buffers that take twice the length of a message which arrives in small pieces. */
+    @Test
+    void allocatesAtMostAQuarterMoreThanHasArrived() {
+        for (int i = 0; i < 128; i++) {
+            read(new byte[KIB]);
+        }
+        backlog.trim();
+        assertThat(loop.buffers().heldBytes()).isLessThanOrEqualTo((128 + 32 + 1) * KIB);
+    }
+
     @Test
     void rejectsMessageOfATypeThatClientsDoNotSend() {
         read(new byte[] {'Z', 0, 0, 0, 5, 'I'});
