Give back the buffers of a server connection when its response ends

LongRowForwarder kept the receiver of its last row, and with it the client's connection.

Change: ServerConnection trims its reader and replaces the response before it is idle, and reports both to BufferMemory while they are in use.

The row's receiver is held by reading only.

--- a/pooler/src/main/java/frostreel/backend/LongRowForwarder.java
+++ b/pooler/src/main/java/frostreel/backend/LongRowForwarder.java
@@ -15,6 +15,7 @@
 
     private final Deadlines deadlines;
     private final Runnable onStalled;
+    /** Null while no row is forwarded, so that a finished one keeps no memory of its client. */
     private BackEnd.ResponseStream target;
 
     private int remainingBytes;
@@ -48,6 +49,7 @@
         }
         newTarget.write(head);
         newTarget.write(received);
+        releaseIfComplete();
     }
 
     /** Consumes and forwards the part of the buffer that belongs to the row. */
@@ -63,11 +65,19 @@
             deadlines.cancel(nextCheck);
         }
         target.write(piece);
+        releaseIfComplete();
+    }
+
+    private void releaseIfComplete() {
+        if (!isActive()) {
+            target = null;
+        }
     }
 
     /** Stops forwarding the current row, if there is one. */
     void stop() {
         remainingBytes = 0;
+        target = null;
         deadlines.cancel(nextCheck);
     }
 
--- a/pooler/src/main/java/frostreel/backend/ServerConnection.java
+++ b/pooler/src/main/java/frostreel/backend/ServerConnection.java
@@ -10,6 +10,7 @@
 import frostreel.request.BackEnd;
 import frostreel.routing.Router.Outcome;
 import frostreel.time.Deadlines;
+import frostreel.util.BufferMemory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -43,6 +44,9 @@
     private final EventLoop loop;
     private final ServerPool pool;
     private final MessageReader reader = new MessageReader(ServerResponse::maxLength);
+    /** The memory of {@link #reader} and {@link #response}. */
+    private final BufferMemory.Account inputMemory;
+
     private final LongRowForwarder longRow;
     private Phase phase = Phase.CONNECTING;
     private IoFuture<StreamConnection> connecting;
@@ -60,6 +64,7 @@
         this.pool = pool;
         this.server = server;
         this.address = server.address();
+        inputMemory = loop.buffers().account();
         longRow = new LongRowForwarder(loop.deadlines(), () -> end(BackEnd.Result.of(Outcome.RESET)));
     }
 
@@ -175,6 +180,19 @@
             loop.counters().malformedMessages++;
             end(BackEnd.Result.of(Outcome.ERROR));
         }
+        if (phase != Phase.CLOSED) {
+            countMemory();
+        }
+    }
+
+    private void countMemory() {
+        inputMemory.set(reader.memoryBytes() + response.memoryBytes());
+    }
+
+    /** Gives back the memory of a response whose result has been taken: the connection may be idle from now on. */
+    private void releaseResponse() {
+        reader.trim();
+        response = ServerResponse.toQuery();
     }
 
     /** Processes the buffered messages of the response; returns whether the response is complete. */
@@ -252,6 +270,7 @@
         }
         attempt = null;
         phase = Phase.IDLE;
+        releaseResponse();
         pool.onFree(this);
         pool.finish(endedAttempt, result);
     }
@@ -301,6 +320,8 @@
         }
         phase = Phase.CLOSED;
         attempt = null;
+        reader.release();
+        inputMemory.set(0);
         longRow.stop();
         loop.deadlines().cancel(deadline);
         if (stream != null) {
--- a/pooler/src/main/java/frostreel/pg/ServerResponse.java
+++ b/pooler/src/main/java/frostreel/pg/ServerResponse.java
@@ -196,6 +196,11 @@
         return error == null ? null : error.sqlState();
     }
 
+    /** Memory of the buffered messages in bytes. */
+    public int memoryBytes() {
+        return buffer.size() + (row == null ? 0 : row.length);
+    }
+
     /** Number of reports in the response that could not be parsed. */
     public int malformedReports() {
         return status.malformedReports();
--- a/pooler/src/test/java/frostreel/IdlePeerMemoryTest.java
+++ b/pooler/src/test/java/frostreel/IdlePeerMemoryTest.java
@@ -1,5 +1,7 @@
 package frostreel;
 
+import static frostreel.PoolerHarness.host;
+import static frostreel.TestMessages.readSql;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
@@ -21,6 +23,11 @@
     /** The size of a connection's buffers before its first long message, with as much again for the rest. */
     private static final int IDLE_CONNECTION_BYTES = 4096;
 
+    /** The longest value that is not streamed, less one, as its length has to fit into two bytes here. */
+    private static final int LONGEST_BUFFERED_VALUE = (1 << 16) - 1;
+
+    private static final int SERVER_CONNECTIONS = 120;
+
     private final List<WireConnection> clients = new ArrayList<>();
 
     @AfterEach
@@ -60,4 +67,33 @@
             assertThat(bufferedBytes(connect(port))).isLessThan((CLIENTS + 1L) * IDLE_CONNECTION_BYTES);
         }
     }
+
+    /** Guards against a crash: each idle connection to a server kept up to 320 KiB of its last long response. */
+    @Test
+    void connectionsToServersHoldNoMemoryAfterALongResponse() throws Exception {
+        replica.script = PoolerHarness.rows("v".repeat(LONGEST_BUFFERED_VALUE), "replica");
+        String configuration = PoolerHarness.configuration(harness.discovery.address(), manyReplicas())
+                .replace("\"sockets\":128", "\"sockets\":" + DESCRIPTORS);
+        try (ServeProcess process =
+                ServeProcess.startWithJvmOptions(SMALL_HEAP, PoolerHarness.environment(configuration))) {
+            int port = process.awaitPort();
+            process.awaitReady();
+            WireConnection client = connect(port);
+            for (int i = 0; replica.connections.get() < SERVER_CONNECTIONS; i++) {
+                String response = value(client.execute(readSql("read" + i, 9000)));
+                assertThat(response).hasSize(LONGEST_BUFFERED_VALUE);
+            }
+            assertThat(bufferedBytes(client)).isLessThan((SERVER_CONNECTIONS + 2L) * IDLE_CONNECTION_BYTES);
+        }
+    }
+
+    /** Returns a primary and replicas, all of which are the same scripted server. */
+    private String[] manyReplicas() {
+        String[] hosts = new String[1 + SERVER_CONNECTIONS];
+        hosts[0] = host("a", primary, "primary", "Ready");
+        for (int i = 1; i < hosts.length; i++) {
+            hosts[i] = host("b" + i, replica, "replica", "Ready");
+        }
+        return hosts;
+    }
 }
