Give back arrival times with the last message, and output at the close

The same cause on two related paths. ArrivalTimes kept up to 4 KiB for each client until its next bytes. SocketStream kept the output of a closed connection for as long as another object referred to it, and counted partly written output by what was left of it, though the whole array is held.

--- a/pooler/src/main/java/frostreel/frontend/ArrivalTimes.java
+++ b/pooler/src/main/java/frostreel/frontend/ArrivalTimes.java
@@ -31,9 +31,7 @@
     /** Adds bytes that arrived at this time. */
     public void add(int bytes, long atUs) {
         arrivedBytes += bytes;
-        if (first == next) {
-            reset();
-        } else if (atUs - timesUs[next - 1] <= resolutionUs) {
+        if (first < next && atUs - timesUs[next - 1] <= resolutionUs) {
             ends[next - 1] = arrivedBytes;
             timesUs[next - 1] = Math.min(timesUs[next - 1], atUs);
             return;
@@ -55,7 +53,14 @@
         while (ends[first] < end) {
             first++;
         }
-        return ends[first] == end ? timesUs[first++] : timesUs[first];
+        long timeUs = timesUs[first];
+        if (ends[first] == end) {
+            first++;
+        }
+        if (first == next) {
+            reset();
+        }
+        return timeUs;
     }
 
     /** The memory in use, in bytes. */
--- a/pooler/src/main/java/frostreel/net/SocketStream.java
+++ b/pooler/src/main/java/frostreel/net/SocketStream.java
@@ -45,9 +45,10 @@
     private final ConduitStreamSinkChannel sink;
     private final Handler handler;
     private final ArrayDeque<ByteBuffer> output = new ArrayDeque<>();
-    /** The memory of {@link #output}. */
+    /** The memory of {@link #output}, which includes what has been written of its first buffer. */
     private final BufferMemory.Account outputMemory;
 
+    private int outputBytes;
     private int pendingBytes;
     /** Number of reads that have returned bytes. */
     private long successfulReads;
@@ -56,6 +57,8 @@
 
     private boolean reset;
     private boolean closed;
+    /** Whether the connection was closed before the socket had accepted all output. */
+    private boolean hasUnsentOutput;
 
     /** Takes ownership of the connection; nothing is read until {@link #resumeReads}. */
     public SocketStream(EventLoop loop, StreamConnection connection, Handler handler) {
@@ -171,7 +174,8 @@
             return;
         }
         output.add(ByteBuffer.wrap(bytes));
-        addPendingBytes(bytes.length);
+        pendingBytes += bytes.length;
+        addOutputBytes(bytes.length);
         boolean isFirst = output.size() == 1;
         if (isFirst && !flush() && !closed) {
             sink.resumeWrites();
@@ -185,7 +189,7 @@
 
     /** Whether the socket has accepted all output; after the close, whether it had before. */
     public boolean flushed() {
-        return output.isEmpty();
+        return output.isEmpty() && !hasUnsentOutput;
     }
 
     /** Shuts down the output once the socket has accepted all of it; the peer may still send. */
@@ -218,11 +222,12 @@
         try {
             while (!output.isEmpty()) {
                 ByteBuffer head = output.peek();
-                addPendingBytes(-sink.write(head));
+                pendingBytes -= sink.write(head);
                 if (head.hasRemaining()) {
                     return false;
                 }
                 output.poll();
+                addOutputBytes(-head.capacity());
             }
             return true;
         } catch (IOException e) {
@@ -232,9 +237,9 @@
         }
     }
 
-    private void addPendingBytes(int change) {
-        pendingBytes += change;
-        outputMemory.set(pendingBytes);
+    private void addOutputBytes(int change) {
+        outputBytes += change;
+        outputMemory.set(outputBytes);
     }
 
     // ---- End of the connection. ----
@@ -260,7 +265,10 @@
     public void close() {
         if (!closed) {
             closed = true;
-            addPendingBytes(-pendingBytes);
+            hasUnsentOutput = !output.isEmpty();
+            output.clear(); // Other objects may refer to this one for longer.
+            pendingBytes = 0;
+            addOutputBytes(-outputBytes);
             IoUtils.safeClose(connection);
         }
     }
--- a/pooler/src/test/java/frostreel/PipelineTest.java
+++ b/pooler/src/test/java/frostreel/PipelineTest.java
@@ -168,6 +168,19 @@
         assertThat(times.take(0)).isEqualTo(300_001);
     }
 
+    /** Guards against 4 KiB of arrival times that each client keeps until it sends again. */
+    @Test
+    void givesBackTheMemoryOfArrivalTimesWithTheLastMessage() {
+        ArrivalTimes times = new ArrivalTimes();
+        int idle = times.memoryBytes();
+        for (int i = 0; i < ArrivalTimes.MAX_ARRIVALS; i++) {
+            times.add(1, 2_000L * i);
+        }
+        assertThat(times.memoryBytes()).isGreaterThan(idle);
+        times.take(0);
+        assertThat(times.memoryBytes()).isEqualTo(idle);
+    }
+
     @Test
     void boundsTheMemoryOfSingleByteArrivalsAndKeepsTheirTimes() {
         ArrivalTimes times = new ArrivalTimes();
