Count the statements of requests in progress, and reject new ones for lack of memory

Nothing limited them but their number: the 341 clients that are expected on 1,024 descriptors could hold 43 MB of a heap of 72 MB, of which 48 MB are for what lives long.

Cause: the statement of a request, twice as long as its value, is held until its last attempt has ended, and was not counted.

Change: RequestTable reports the payload of each request. Beyond three eighths of the heap new requests are rejected with 53300 and a Retry-After, counted as memory_refused; nothing has been sent for them, so repeating them is harmless. Input is held back from a quarter on, as before; what lies between is for messages that had begun to arrive.

--- a/lab/src/main/java/frostreel/lab/virtual/SimulatedPayload.java
+++ b/lab/src/main/java/frostreel/lab/virtual/SimulatedPayload.java
@@ -11,6 +11,11 @@
  */
 record SimulatedPayload(String id, double workUs, boolean write, long session, long boundUs, long sinceUs)
         implements Payload {
+    @Override
+    public int memoryBytes() {
+        return 0; // The content of a simulated request is not modelled.
+    }
+
     @Override
     public byte[] forServer(long patienceUs) {
         throw new UnsupportedOperationException("a simulated payload has no bytes");
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -97,6 +97,7 @@
                 loop.deadlines(),
                 loop.counters(),
                 loop.events(),
+                loop.buffers(),
                 pool,
                 config.settings(),
                 config.maxOpenRequests(),
--- a/pooler/src/main/java/frostreel/broker/ActiveRequest.java
+++ b/pooler/src/main/java/frostreel/broker/ActiveRequest.java
@@ -6,6 +6,7 @@
 import frostreel.routing.Router;
 import frostreel.routing.Router.Outcome;
 import frostreel.time.Deadlines;
+import frostreel.util.BufferMemory;
 import frostreel.util.SlotTable;
 
 /**
@@ -31,6 +32,9 @@
     /** Its id in calls to and from the router, derived from the handle. */
     String routerId;
 
+    /** The memory of its payload, which is held as long as it is in the {@link RequestTable}. */
+    BufferMemory.Account memory;
+
     /** Whether it has its final response, or the beginning of a long one, or no longer needs one. */
     boolean closed;
     /** Whether a long response has begun, whose bytes are forwarded as they arrive. */
--- a/pooler/src/main/java/frostreel/broker/Broker.java
+++ b/pooler/src/main/java/frostreel/broker/Broker.java
@@ -12,6 +12,7 @@
 import frostreel.stats.Counters;
 import frostreel.time.Clock;
 import frostreel.time.Deadlines;
+import frostreel.util.BufferMemory;
 import frostreel.util.SlotTable;
 import java.util.HashSet;
 import java.util.List;
@@ -58,6 +59,7 @@
                 deadlines,
                 counters,
                 EventLog.silent(),
+                BufferMemory.ofThisProcess(),
                 backEnd,
                 settings,
                 maxRequests,
@@ -68,6 +70,7 @@
     /**
      * Creates a broker and, with the factory, its router.
      *
+     * @param buffers counts the memory of active requests
      * @param maxRequests the maximum number of active requests; more are rejected
      * @param writeObserver observes write attempts on behalf of the pooler's other processes
      */
@@ -76,6 +79,7 @@
             Deadlines deadlines,
             Counters counters,
             EventLog log,
+            BufferMemory buffers,
             BackEnd backEnd,
             Router.Settings settings,
             int maxRequests,
@@ -87,7 +91,7 @@
         this.log = log;
         this.backEnd = backEnd;
         this.settings = settings;
-        requests = new RequestTable(maxRequests);
+        requests = new RequestTable(maxRequests, buffers);
         events = new EventQueue(counters);
         router = routerFactory.apply(settings, this);
         attempts = new AttemptRunner(
--- a/pooler/src/main/java/frostreel/broker/RequestTable.java
+++ b/pooler/src/main/java/frostreel/broker/RequestTable.java
@@ -1,5 +1,6 @@
 package frostreel.broker;
 
+import frostreel.util.BufferMemory;
 import frostreel.util.SlotTable;
 import java.util.HashSet;
 import java.util.Set;
@@ -7,10 +8,13 @@
 /** Active requests by handle, and the ids that clients chose for them. Used only on the I/O thread. */
 final class RequestTable {
     private final SlotTable<ActiveRequest> slots;
+    private final BufferMemory buffers;
     private final Set<String> clientRequestIds = new HashSet<>();
 
-    RequestTable(int capacity) {
+    /** Creates a table for at most {@code capacity} requests, whose contents count towards {@code buffers}. */
+    RequestTable(int capacity, BufferMemory buffers) {
         slots = new SlotTable<>(capacity);
+        this.buffers = buffers;
     }
 
     /** Reserves a slot for the request and sets its handle. Returns false if the table is full. */
@@ -28,6 +32,8 @@
     void open(ActiveRequest request) {
         clientRequestIds.add(request.attributes.id());
         request.routerId = Long.toString(request.handle);
+        request.memory = buffers.account();
+        request.memory.set(request.payload.memoryBytes());
     }
 
     /** Returns the request, or null if the handle is stale. */
@@ -49,6 +55,7 @@
         if (request.closed && !request.hasAttemptInFlight()) {
             slots.remove(request.handle);
             clientRequestIds.remove(request.attributes.id());
+            request.memory.set(0);
         }
     }
 
--- a/pooler/src/main/java/frostreel/frontend/QueryHandler.java
+++ b/pooler/src/main/java/frostreel/frontend/QueryHandler.java
@@ -122,9 +122,16 @@
         invalidInARow = 0;
         if (frontEnd.limits().rejectsRequests()) {
             loop.counters().requestsRejectedForOverload++;
-            connection.respond(FrontEndResponses.rejected(frontEnd.broker().retryAfterUs(OVERLOADED_RETRY_AFTER_US)));
+            reject();
+        } else if (loop.buffers().rejectsRequests()) {
+            loop.counters().requestsRejectedForMemory++;
+            reject();
         } else {
             connection.submit(statement, requestClass);
         }
     }
+
+    private void reject() {
+        connection.respond(FrontEndResponses.rejected(frontEnd.broker().retryAfterUs(OVERLOADED_RETRY_AFTER_US)));
+    }
 }
--- a/pooler/src/main/java/frostreel/pg/Statement.java
+++ b/pooler/src/main/java/frostreel/pg/Statement.java
@@ -240,6 +240,11 @@
         return (sessionHash ^ sessionHash >>> 32) & SESSION_MASK;
     }
 
+    @Override
+    public int memoryBytes() {
+        return sql.length;
+    }
+
     @Override
     public byte[] forServer(long timeoutUs) {
         byte[] digits =
--- a/pooler/src/main/java/frostreel/stats/Counters.java
+++ b/pooler/src/main/java/frostreel/stats/Counters.java
@@ -36,6 +36,8 @@
     public long requestsOverdue;
     /** Requests rejected because requests in flight occupied nearly all client connections. */
     public long requestsRejectedForOverload;
+    /** Requests rejected because the buffers occupied too much of the heap. */
+    public long requestsRejectedForMemory;
 
     public long responsesStreamed;
     /** Streamed responses that ended incomplete. */
@@ -115,6 +117,7 @@
                 + " calls_done=" + adminCommandsAccepted
                 + " calls_refused=" + adminCommandsRejected
                 + " callers_silent=" + adminClientsTimedOut
+                + " memory_refused=" + requestsRejectedForMemory
                 + " outcomes=" + outcomes;
     }
 }
--- a/pooler/src/main/java/frostreel/util/BufferMemory.java
+++ b/pooler/src/main/java/frostreel/util/BufferMemory.java
@@ -2,7 +2,10 @@
 
 /**
  * The memory of all buffers that grow with what peers send or leave unread. Each owner reports its part through an
- * {@link Account}. Used on the I/O thread.
+ * {@link Account}.
+ *
+ * <p>Owners give back memory as soon as they do not need it. Beyond the first limit input is held back, beyond the
+ * second one new requests are rejected. Used on the I/O thread.
  */
 public final class BufferMemory {
     /** The owner of one buffer, or of several that it reports together. */
@@ -18,16 +21,24 @@
         }
     }
 
-    /** The buffers' share is a quarter of the heap; the rest is left to tables and the garbage collector. */
-    private static final long SHARE_DIVISOR = 4;
+    private static final long EIGHTHS = 8;
+    /** Input is held back beyond a quarter of the heap. */
+    private static final long HOLD_BACK_EIGHTHS = 2;
+    /**
+     * Requests are rejected beyond three eighths of the heap. What lies between the limits is for messages that had
+     * begun to arrive; the rest of the heap is for responses in progress, tables and the garbage collector.
+     */
+    private static final long REJECT_EIGHTHS = 3;
 
     private final long holdBackBytes;
+    private final long rejectBytes;
     private long heldBytes;
     private long peakBytes;
 
     /** Creates an account book without owners, for a heap of at most {@code maxHeapBytes}. */
     public BufferMemory(long maxHeapBytes) {
-        holdBackBytes = maxHeapBytes / SHARE_DIVISOR;
+        holdBackBytes = maxHeapBytes / EIGHTHS * HOLD_BACK_EIGHTHS;
+        rejectBytes = maxHeapBytes / EIGHTHS * REJECT_EIGHTHS;
     }
 
     /** Creates an account for a heap of the size that this JVM may use. */
@@ -55,8 +66,13 @@
         return peakBytes;
     }
 
-    /** Whether the buffers exceed their share of the heap, so that input has to be held back. */
+    /** Whether input for which nobody waits has to stay in the sockets. */
     public boolean holdsBackInput() {
         return heldBytes > holdBackBytes;
     }
+
+    /** Whether new requests have to be rejected. */
+    public boolean rejectsRequests() {
+        return heldBytes > rejectBytes;
+    }
 }
--- a/pooler/src/test/java/frostreel/PausedResponseTest.java
+++ b/pooler/src/test/java/frostreel/PausedResponseTest.java
@@ -9,6 +9,7 @@
 import frostreel.request.BackEnd.ResponseSource;
 import frostreel.request.BackEnd.ResponseStream;
 import frostreel.request.BackEnd.Result;
+import frostreel.request.FixedPayload;
 import frostreel.routing.Router.Outcome;
 import java.util.Arrays;
 import java.util.concurrent.BlockingQueue;
@@ -80,7 +81,10 @@
     private void start(ServerPool pool, BackEnd.AttemptListener listener) {
         loop.thread()
                 .execute(() -> pool.start(
-                        "a", timeoutUs -> TestMessages.query("SELECT v FROM records"), ATTEMPT_TIMEOUT_US, listener));
+                        "a",
+                        new FixedPayload(TestMessages.query("SELECT v FROM records")),
+                        ATTEMPT_TIMEOUT_US,
+                        listener));
     }
 
     /** Counts the bytes of a long response, and pauses its source at the last of them. */
--- a/pooler/src/test/java/frostreel/IdlePeerMemoryTest.java
+++ b/pooler/src/test/java/frostreel/PeerMemoryTest.java
@@ -1,25 +1,40 @@
 package frostreel;
 
 import static frostreel.PoolerHarness.host;
+import static frostreel.TestMessages.query;
 import static frostreel.TestMessages.readSql;
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 
-/** The memory that a process holds for clients and servers that have nothing to send. */
-class IdlePeerMemoryTest extends AbstractPoolerTest {
+/** The memory that a process holds for clients and servers that send nothing, slowly or more than it can pass on. */
+class PeerMemoryTest extends AbstractPoolerTest {
     /** A heap that holds the program, but not 256 KiB for each client. */
     private static final List<String> SMALL_HEAP = List.of("-Xmx32m", "-XX:+ExitOnOutOfMemoryError");
 
-    private static final int DESCRIPTORS = 512;
+    /** A heap that holds the program, but not a long write for each client. */
+    private static final List<String> SMALLEST_HEAP = List.of("-Xmx24m", "-XX:+ExitOnOutOfMemoryError");
+
+    /** Three eighths of the smallest heap, beyond which requests are rejected. */
+    private static final long REJECT_BYTES = (24L << 20) * 3 / 8;
+    /** What one client may add before the limit is checked again: four reads of 64 KiB. */
+    private static final long BYTES_READ_IN_ONE_TURN = 4L << 16;
+
+    private static final int DESCRIPTORS = 1024;
     /** Under three quarters of the expected clients, a third of the descriptors, so that no idle client is closed. */
     private static final int CLIENTS = 120;
     /** The longest value of a write, which is sent as hexadecimal text. */
     private static final String LONG_VALUE = "a7".repeat(1 << 16);
+    /** The value of a write that arrives in one piece. */
+    private static final String SHORTER_VALUE = "a7".repeat(3000);
+
+    private static final int SHORTER_WRITES = 30;
     /** The size of a connection's buffers before its first long message, with as much again for the rest. */
     private static final int IDLE_CONNECTION_BYTES = 4096;
 
@@ -44,12 +59,19 @@
     }
 
     private static String longWriteSql(String id) {
-        return TestMessages.writeSql(id, 9000).replace("9f03", LONG_VALUE);
+        return writeSql(id, LONG_VALUE);
+    }
+
+    private static String writeSql(String id, String value) {
+        return TestMessages.writeSql(id, 9000).replace("9f03", value);
     }
 
     private static long bufferedBytes(WireConnection client) throws IOException {
-        String health = value(client.execute("SHOW health"));
-        return Long.parseLong(health.replaceAll(".* buffered_bytes=(\\d+).*", "$1"));
+        return healthValue(client, "buffered_bytes");
+    }
+
+    private static long healthValue(WireConnection client, String key) throws IOException {
+        return Long.parseLong(value(client.execute("SHOW health")).replaceAll(".* " + key + "=(\\d+).*", "$1"));
     }
 
     /** Guards against a crash: each client that had written a long value kept 256 KiB until it sent again. */
@@ -87,6 +109,53 @@
         }
     }
 
+    /** Guards against a crash: requests that wait for a server held memory without a limit. */
+    @Test
+    void longWritesInProgressAreLimitedByTheMemoryTheyHold() throws Exception {
+        BlockingQueue<WireConnection> waitingServers = new LinkedBlockingQueue<>();
+        ScriptedPeer.Script answer = primary.script;
+        primary.script = (text, link) -> waitingServers.add(link);
+        String configuration = configuration().replace("\"sockets\":128", "\"sockets\":" + DESCRIPTORS);
+        try (ServeProcess process =
+                ServeProcess.startWithJvmOptions(SMALLEST_HEAP, PoolerHarness.environment(configuration))) {
+            int port = process.awaitPort();
+            process.awaitReady();
+            for (int i = 0; i < CLIENTS; i++) {
+                connect(port).send(query(longWriteSql("write" + i)));
+            }
+            // Together they hold more than one long write, so that they use up what that left below the limit.
+            for (int i = 0; i < SHORTER_WRITES; i++) {
+                connect(port).send(query(writeSql("shorter" + i, SHORTER_VALUE)));
+            }
+            WireConnection observer = connect(port);
+            while (counter(observer, "requests") + counter(observer, "memory_refused") < clients.size() - 1) {
+                Thread.onSpinWait();
+            }
+            assertThat(counter(observer, "memory_refused")).isPositive();
+            assertError(observer.execute(readSql("read", 9000)), "53300");
+            primary.script = answer;
+            for (WireConnection link = waitingServers.poll(); link != null; link = waitingServers.poll()) {
+                answer.respond("", link);
+            }
+            for (WireConnection client : clients.subList(0, clients.size() - 1)) {
+                assertServedOrRejected(client.readResponse());
+            }
+            assertThat(bufferedBytes(observer)).isLessThan((long) clients.size() * IDLE_CONNECTION_BYTES);
+        }
+    }
+
+    private static void assertServedOrRejected(List<String> response) {
+        if (response.size() == 1) {
+            assertError(response, "53300");
+        } else {
+            assertThat(value(response)).startsWith("from-");
+        }
+    }
+
+    private static long counter(WireConnection client, String name) throws IOException {
+        return Long.parseLong(value(client.execute("SHOW stats")).replaceAll(".* " + name + "=(\\d+).*", "$1"));
+    }
+
     /** Returns a primary and replicas, all of which are the same scripted server. */
     private String[] manyReplicas() {
         String[] hosts = new String[1 + SERVER_CONNECTIONS];
--- a/pooler/src/test/java/frostreel/broker/BrokerTest.java
+++ b/pooler/src/test/java/frostreel/broker/BrokerTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import frostreel.request.FixedPayload;
 import frostreel.request.RequestAttributes;
 import frostreel.request.ResponseHandler;
 import frostreel.routing.Limits;
@@ -63,7 +64,7 @@
     private void submit(Broker broker, String id) {
         broker.submit(
                 new RequestAttributes(id, 0, 0, 2, DEADLINE_US, 0, false),
-                timeoutUs -> new byte[0],
+                new FixedPayload(new byte[0]),
                 new FailureRecorder(id));
     }
 
--- a/pooler/src/test/java/frostreel/broker/RequestTableTest.java
+++ b/pooler/src/test/java/frostreel/broker/RequestTableTest.java
@@ -2,18 +2,22 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import frostreel.request.FixedPayload;
 import frostreel.request.RequestAttributes;
+import frostreel.util.BufferMemory;
 import frostreel.util.SlotTable;
 import org.junit.jupiter.api.Test;
 
 /** Lookup of requests by handle and id, and the lifetime of their slots. */
 class RequestTableTest {
     private static final long ATTEMPT = 7;
-    private final RequestTable requests = new RequestTable(1);
+    private static final int PAYLOAD_BYTES = 1000;
+    private final BufferMemory buffers = new BufferMemory(Long.MAX_VALUE);
+    private final RequestTable requests = new RequestTable(1, buffers);
 
     private static ActiveRequest request(String clientRequestId) {
         RequestAttributes attributes = new RequestAttributes(clientRequestId, 0, 0, 0, 0, 0, false);
-        return new ActiveRequest(attributes, null, null, null, 1);
+        return new ActiveRequest(attributes, new FixedPayload(new byte[PAYLOAD_BYTES]), null, null, 1);
     }
 
     private ActiveRequest opened(String clientRequestId) {
@@ -55,6 +59,21 @@
         assertThat(requests.containsClientRequestId("a")).isFalse();
     }
 
+    /** Guards against requests whose memory is not counted, such as one in flight whose client has gone. */
+    @Test
+    void countsThePayloadUntilTheRequestIsRemoved() {
+        ActiveRequest request = opened("a");
+        request.closed = true;
+        request.attemptHandle = ATTEMPT;
+        requests.removeIfDone(request);
+        assertThat(buffers.heldBytes()).isEqualTo(PAYLOAD_BYTES);
+
+        request.attemptHandle = SlotTable.NONE;
+        requests.removeIfDone(request);
+
+        assertThat(buffers.heldBytes()).isZero();
+    }
+
     @Test
     void doesNotFindNewRequestByTheStaleIdOfItsSlot() {
         ActiveRequest first = opened("a");
