Hold back pipelined input and discard long incomplete queries when memory is short

Callers saw: when the buffers were full, a client with over 64 KiB behind a request in progress lost what was beyond, and was closed without an answer to it; and clients that send long statements slowly ended the process together.

Cause: being full only lowered the limit beyond which ClientBacklog drops input, and had no effect on incomplete messages.

Change: beyond a quarter of the heap, the input behind a request in progress stays in the socket (input_held_back) and is read once that request has ended. Beyond three eighths, a long query that is still incomplete is discarded as it arrives and rejected when it is complete, so the connection goes on. The look at a client before an attempt reads no more while over 64 KiB of its input wait already.

--- a/pooler/src/main/java/frostreel/frontend/ClientBacklog.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientBacklog.java
@@ -15,8 +15,10 @@
     private static final int MAX_MESSAGE_BYTES = (1 << 17) + (1 << 12);
 
     private static final int MAX_BYTES = 1 << 20;
-    /** The limit while the buffers of all connections together exceed their share of the memory. */
-    private static final int MAX_BYTES_WHEN_BUFFERS_ARE_FULL = 1 << 16;
+    /** Incomplete queries up to this size are kept even while requests are rejected for lack of memory. */
+    private static final int MAX_KEPT_INCOMPLETE_BYTES = 1 << 13;
+    /** The size up to which the backlog may always grow. */
+    private static final int MIN_BYTES = 1 << 16;
 
     private static final String CLIENT_MESSAGE_TYPES = "QPBEDCFSHX";
     private static final int NOT_ACCEPTED = -1;
@@ -71,7 +73,23 @@
     }
 
     boolean isEmpty() {
-        return reader.buffered() == 0;
+        return reader.buffered() == 0 && !reader.isDiscarding();
+    }
+
+    /** Whether more input may be read that does not complete the client's next message. */
+    boolean mayGrow() {
+        return reader.buffered() <= MIN_BYTES || !loop.buffers().rejectsRequests();
+    }
+
+    /**
+     * Discards the next message if it is a long query that is incomplete, because the memory for it is lacking; it is
+     * rejected once all of it has arrived.
+     */
+    void discardLongIncompleteQuery() {
+        if (reader.buffered() > MAX_KEPT_INCOMPLETE_BYTES && reader.incompleteType() == QueryHandler.QUERY) {
+            reader.discardIncomplete();
+            trim();
+        }
     }
 
     /**
@@ -80,7 +98,7 @@
      * {@link LingeringClose#MAX_DROPPED_BYTES}, so that a disconnect is detected; beyond that, reading is suspended.
      */
     boolean checkOverrun() {
-        overrun = reader.buffered() > (loop.buffers().holdsBackInput() ? MAX_BYTES_WHEN_BUFFERS_ARE_FULL : MAX_BYTES);
+        overrun = reader.buffered() > MAX_BYTES;
         return overrun;
     }
 
--- a/pooler/src/main/java/frostreel/frontend/ClientConnection.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientConnection.java
@@ -118,6 +118,11 @@
         return isOpen() && !mustWait();
     }
 
+    /** Leaves further input in the socket until the next message may be processed. */
+    void holdBackInput() {
+        stream.suspendReads();
+    }
+
     /** Called when messages were processed: resumes reading and starts the next timeout unless a request is active. */
     void onMessagesTaken() {
         if (isOpen() && !request.isActive()) {
@@ -199,9 +204,9 @@
         input.takeMessages();
     }
 
-    /** Whether the client is still connected; reads its socket first unless that was just done. */
+    /** Whether the client is still connected; reads its socket first unless that was just done or memory is lacking. */
     boolean isClientConnected() {
-        if (!input.wasReadJustNow()) {
+        if (!input.wasReadJustNow() && input.mayGrow()) {
             stream.readNow();
         }
         return phase != Phase.CLOSED;
--- a/pooler/src/main/java/frostreel/frontend/ClientInput.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientInput.java
@@ -40,8 +40,23 @@
         readJustNow = true;
         takeMessages();
         readJustNow = readBefore;
-        if (!backlog.isOverrun() && connection.mustWait() && backlog.checkOverrun()) {
+        if (connection.mustWait()) {
+            limitBacklog();
+        } else if (connection.isOpen() && loop.buffers().rejectsRequests()) {
+            backlog.discardLongIncompleteQuery();
+        }
+    }
+
+    /** Limits the input behind an active request or an unread response. */
+    private void limitBacklog() {
+        if (backlog.isOverrun()) {
+            return;
+        }
+        if (backlog.checkOverrun()) {
             loop.counters().malformedMessages++;
+        } else if (loop.buffers().holdsBackInput()) {
+            loop.counters().inputsHeldBack++;
+            connection.holdBackInput();
         }
     }
 
@@ -114,6 +129,11 @@
         return backlog.isEmpty();
     }
 
+    /** Whether more input may be read that does not complete the client's next message. */
+    boolean mayGrow() {
+        return backlog.mayGrow();
+    }
+
     /** Whether the unprocessed input exceeds its limit, so that further input is dropped. */
     boolean isOverrun() {
         return backlog.isOverrun();
--- a/pooler/src/main/java/frostreel/frontend/QueryHandler.java
+++ b/pooler/src/main/java/frostreel/frontend/QueryHandler.java
@@ -15,7 +15,7 @@
  * and passes requests on to the connection, which submits them. Used on the I/O thread.
  */
 final class QueryHandler {
-    private static final byte QUERY = 'Q';
+    static final byte QUERY = 'Q';
     private static final byte SYNC = 'S';
     private static final byte FLUSH = 'H';
     private static final byte TERMINATE = 'X';
@@ -49,7 +49,13 @@
     void onMessage(MessageReader message) throws PgException {
         switch (message.type()) {
             case TERMINATE -> connection.close();
-            case QUERY -> onQuery(message.body());
+            case QUERY -> {
+                if (message.isDiscarded()) {
+                    rejectForMemory();
+                } else {
+                    onQuery(message.body());
+                }
+            }
             case SYNC -> {
                 skippingToSync = false;
                 stream.write(Messages.readyForQuery());
@@ -124,13 +130,17 @@
             loop.counters().requestsRejectedForOverload++;
             reject();
         } else if (loop.buffers().rejectsRequests()) {
-            loop.counters().requestsRejectedForMemory++;
-            reject();
+            rejectForMemory();
         } else {
             connection.submit(statement, requestClass);
         }
     }
 
+    private void rejectForMemory() {
+        loop.counters().requestsRejectedForMemory++;
+        reject();
+    }
+
     private void reject() {
         connection.respond(FrontEndResponses.rejected(frontEnd.broker().retryAfterUs(OVERLOADED_RETRY_AFTER_US)));
     }
--- a/pooler/src/main/java/frostreel/pg/MessageReader.java
+++ b/pooler/src/main/java/frostreel/pg/MessageReader.java
@@ -37,6 +37,13 @@
     private byte[] buffer = new byte[INITIAL_BUFFER_BYTES];
     private int from;
     private int to;
+    /** Whether the next message is discarded; its last {@link #bytesToDiscard} bytes have not arrived yet. */
+    private boolean discarding;
+
+    private int bytesToDiscard;
+    /** Whether the current message was discarded. */
+    private boolean discarded;
+
     private byte type;
     private int bodyFrom;
     private int bodyTo;
@@ -48,6 +55,9 @@
 
     /** Appends all remaining bytes of {@code in} to the buffer. */
     public void feed(ByteBuffer in) {
+        int dropped = Math.min(bytesToDiscard, in.remaining());
+        in.position(in.position() + dropped);
+        bytesToDiscard -= dropped;
         int added = in.remaining();
         if (from == to) {
             from = 0;
@@ -105,6 +115,13 @@
      * @throws PgException if its type is not accepted or its length is outside the limits
      */
     public boolean next() throws PgException {
+        discarded = discarding && bytesToDiscard == 0;
+        if (discarding) {
+            discarding = !discarded;
+            bodyFrom = from;
+            bodyTo = from;
+            return discarded;
+        }
         if (buffered() < HEADER_BYTES) {
             return false;
         }
@@ -116,6 +133,34 @@
         return take(1, maxLength);
     }
 
+    /** Type of the next message if its header has arrived and the rest has not, else 0. */
+    public byte incompleteType() {
+        boolean incomplete = !discarding && buffered() >= HEADER_BYTES && buffered() <= intAt(from + 1);
+        return incomplete ? buffer[from] : 0;
+    }
+
+    /**
+     * Discards the next message, which must be incomplete: gives back its memory, and drops the rest of it when that
+     * arrives. Once it has, {@link #next} advances to it as usual, but its body is empty and {@link #isDiscarded} true.
+     */
+    public void discardIncomplete() {
+        type = buffer[from];
+        bytesToDiscard = 1 + intAt(from + 1) - buffered();
+        discarding = true;
+        from = to;
+        trim();
+    }
+
+    /** Whether a message is being discarded that {@link #next} has not advanced to yet. */
+    public boolean isDiscarding() {
+        return discarding;
+    }
+
+    /** Whether the body of the current message was discarded. */
+    public boolean isDiscarded() {
+        return discarded;
+    }
+
     /**
      * Body length of the next message if it is a row longer than {@code maxBuffered} whose headers have arrived, else
      * 0. The caller consumes the bytes of such a row as they arrive, with {@link #takeBuffered}.
--- a/pooler/src/main/java/frostreel/stats/Counters.java
+++ b/pooler/src/main/java/frostreel/stats/Counters.java
@@ -38,6 +38,8 @@
     public long requestsRejectedForOverload;
     /** Requests rejected because the buffers occupied too much of the heap. */
     public long requestsRejectedForMemory;
+    /** Times that the input behind a request in progress was left in the socket because the buffers were full. */
+    public long inputsHeldBack;
 
     public long responsesStreamed;
     /** Streamed responses that ended incomplete. */
@@ -118,6 +120,7 @@
                 + " calls_refused=" + adminCommandsRejected
                 + " callers_silent=" + adminClientsTimedOut
                 + " memory_refused=" + requestsRejectedForMemory
+                + " input_held_back=" + inputsHeldBack
                 + " outcomes=" + outcomes;
     }
 }
--- a/pooler/src/test/java/frostreel/PeerMemoryTest.java
+++ b/pooler/src/test/java/frostreel/PeerMemoryTest.java
@@ -7,6 +7,7 @@
 
 import java.io.IOException;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
@@ -42,6 +43,9 @@
     private static final int LONGEST_BUFFERED_VALUE = (1 << 16) - 1;
 
     private static final int SERVER_CONNECTIONS = 120;
+    private static final int PIPELINING_CLIENTS = 30;
+    /** Long writes behind a read; less than 1 MiB, beyond which a client's pipelined input is dropped. */
+    private static final int PIPELINED_WRITES = 6;
 
     private final List<WireConnection> clients = new ArrayList<>();
 
@@ -144,6 +148,68 @@
         }
     }
 
+    /** Guards against lost requests: while the buffers were full, pipelined input beyond 64 KiB was dropped. */
+    @Test
+    void pipelinedWritesAreAnsweredWhileTheBuffersAreFull() throws Exception {
+        BlockingQueue<WireConnection> waitingServers = new LinkedBlockingQueue<>();
+        ScriptedPeer.Script answer = replica.script;
+        replica.script = (text, link) -> waitingServers.add(link);
+        String configuration = configuration().replace("\"sockets\":128", "\"sockets\":" + DESCRIPTORS);
+        try (ServeProcess process =
+                ServeProcess.startWithJvmOptions(SMALLEST_HEAP, PoolerHarness.environment(configuration))) {
+            int port = process.awaitPort();
+            process.awaitReady();
+            for (int i = 0; i < PIPELINING_CLIENTS; i++) {
+                WireConnection client = connect(port);
+                client.send(query(readSql("read" + i, 9000)));
+                for (int j = 0; j < PIPELINED_WRITES; j++) {
+                    client.send(query(longWriteSql("write" + i + "n" + j)));
+                }
+            }
+            WireConnection observer = connect(port);
+            while (counter(observer, "input_held_back") == 0) {
+                Thread.onSpinWait();
+            }
+            replica.script = answer;
+            for (WireConnection link = waitingServers.poll(); link != null; link = waitingServers.poll()) {
+                answer.respond("", link);
+            }
+            for (WireConnection client : clients.subList(0, PIPELINING_CLIENTS)) {
+                for (int j = 0; j <= PIPELINED_WRITES; j++) {
+                    assertServedOrRejected(client.readResponse());
+                }
+            }
+            assertThat(counter(observer, "malformed")).isZero();
+        }
+    }
+
+    /** Guards against a crash: incomplete messages of slow clients held memory without a limit. */
+    @Test
+    void longWritesThatArriveSlowlyAreLimitedByTheMemoryTheyHold() throws Exception {
+        String configuration = configuration().replace("\"sockets\":128", "\"sockets\":" + DESCRIPTORS);
+        try (ServeProcess process =
+                ServeProcess.startWithJvmOptions(SMALLEST_HEAP, PoolerHarness.environment(configuration))) {
+            int port = process.awaitPort();
+            process.awaitReady();
+            byte[][] writes = new byte[CLIENTS][];
+            for (int i = 0; i < CLIENTS; i++) {
+                writes[i] = query(longWriteSql("write" + i));
+                connect(port).send(Arrays.copyOf(writes[i], LONG_VALUE.length()));
+            }
+            WireConnection observer = connect(port);
+            observer.execute("");
+            for (int i = 0; i < CLIENTS; i++) {
+                clients.get(i).send(Arrays.copyOfRange(writes[i], LONG_VALUE.length(), writes[i].length));
+            }
+            for (WireConnection client : clients.subList(0, CLIENTS)) {
+                assertServedOrRejected(client.readResponse());
+            }
+            assertThat(counter(observer, "memory_refused")).isPositive();
+            assertThat(healthValue(observer, "buffered_peak_bytes")).isLessThan(REJECT_BYTES + BYTES_READ_IN_ONE_TURN);
+            assertThat(bufferedBytes(observer)).isLessThan((CLIENTS + 1L) * IDLE_CONNECTION_BYTES);
+        }
+    }
+
     private static void assertServedOrRejected(List<String> response) {
         if (response.size() == 1) {
             assertError(response, "53300");
