Keep all request classes that clients may follow, over several reloads within 1.2 s

Cause: RequestClassRegistry kept one earlier set of classes and one time of change. The second reload replaced both, so a request of the first file's class was compared with the second file's and the third's, which are equal and may be repeated.

Change: SupersededValues keeps every set of classes that was replaced in the last 1.2 s with its time, and the strictest of those that fit is chosen. Why it works: the sets that count are by definition those that some client may still follow, however many reloads fall into that time.

--- a/decisions/src/main/java/frostreel/operation/RequestClassRegistry.java
+++ b/decisions/src/main/java/frostreel/operation/RequestClassRegistry.java
@@ -9,7 +9,11 @@
 
 /**
  * Assigns numbers to request classes that remain valid when the settings change. A class that is new, or whose rules
- * have changed, gets the next free number; one that returns unchanged gets its previous number. Not thread-safe.
+ * have changed, gets the next free number; one that returns unchanged gets its previous number.
+ *
+ * <p>For {@link #TRANSITION_US} after a change, clients may still follow the replaced settings. The settings may change
+ * again within that time, so a request may follow any of several, and gets the strictest of the classes that its client
+ * may follow. Times are microseconds on one clock. Not thread-safe.
  */
 public final class RequestClassRegistry {
     /** Returned instead of a class number for a request that matches no class. */
@@ -18,19 +22,13 @@
     /** How long after a settings change clients may still send requests according to the previous settings. */
     public static final long TRANSITION_US = 1_200_000;
 
-    /** Time of the last change if there was none; half the range, so that subtracting it cannot overflow. */
-    private static final long NEVER_CHANGED_US = Long.MIN_VALUE / 2;
-
     /** All classes that have ever been in force, indexed by class number. */
     private final List<RequestClass> classes = new ArrayList<>();
+    /** Class numbers by name in settings that were replaced. */
+    private final SupersededValues<Map<String, Integer>> superseded = new SupersededValues<>();
     /** Class numbers by name in the current settings. */
     private Map<String, Integer> current;
 
-    /** Class numbers by name in the previous settings. */
-    private Map<String, Integer> previous = Map.of();
-
-    private long changedAtUs = NEVER_CHANGED_US;
-
     /** Assigns numbers from 0 to the initial classes. */
     public RequestClassRegistry(List<RequestClass> initial) {
         current = numbersByName(initial);
@@ -55,9 +53,13 @@
 
     /** Puts other classes in force. */
     public void replaceClasses(long nowUs, List<RequestClass> replacement) {
-        previous = current;
-        current = numbersByName(replacement);
-        changedAtUs = nowUs;
+        Map<String, Integer> next = numbersByName(replacement);
+        if (next.equals(current)) {
+            return;
+        }
+        superseded.forgetUntil(nowUs - TRANSITION_US);
+        superseded.supersede(current, nowUs);
+        current = next;
     }
 
     /** An immutable copy of all classes that have a number, indexed by that number. */
@@ -66,43 +68,49 @@
     }
 
     /**
-     * The class number of a request. Within {@link #TRANSITION_US} of a change, a request may match the class of that
-     * name in the previous settings, in the current settings or in both; if both match, the stricter class is chosen.
+     * The class number of a request. Its client may follow the current settings, or any that were replaced less than
+     * {@link #TRANSITION_US} ago; of all classes of that name that match, the strictest is chosen.
      *
      * @param write whether the request writes
      * @param keyed whether the request carries an idempotency key
      * @return {@link #NO_CLASS} if no class of that name matches
      */
     public int classNumber(long nowUs, String name, boolean write, boolean keyed) {
-        int fromCurrent = fittingNumber(current, name, write, keyed);
-        boolean inTransition = nowUs - changedAtUs < TRANSITION_US;
-        if (!inTransition) {
-            return fromCurrent;
+        long followedAfterUs = nowUs - TRANSITION_US;
+        return superseded.anyAfter(followedAfterUs)
+                ? strictestNumber(superseded.after(followedAfterUs), name, write, keyed)
+                : matchingNumber(current, name, write, keyed);
+    }
+
+    /** The strictest of the matching classes of the current settings and of earlier ones, ordered from the oldest. */
+    private int strictestNumber(List<Map<String, Integer>> earlier, String name, boolean write, boolean keyed) {
+        int strictest = matchingNumber(current, name, write, keyed);
+        for (int i = earlier.size() - 1; i >= 0; i--) {
+            strictest = stricter(strictest, matchingNumber(earlier.get(i), name, write, keyed));
         }
-        int fromPrevious = fittingNumber(previous, name, write, keyed);
-        return stricter(fromCurrent, fromPrevious);
+        return strictest;
     }
 
-    private int fittingNumber(Map<String, Integer> numbers, String name, boolean write, boolean keyed) {
+    private int matchingNumber(Map<String, Integer> numbers, String name, boolean write, boolean keyed) {
         int number = numbers.getOrDefault(name, NO_CLASS);
-        boolean fits = number != NO_CLASS && fits(classes.get(number), write, keyed);
-        return fits ? number : NO_CLASS;
+        boolean matches = number != NO_CLASS && matches(classes.get(number), write, keyed);
+        return matches ? number : NO_CLASS;
     }
 
-    private static boolean fits(RequestClass requestClass, boolean write, boolean keyed) {
-        boolean accessFits = write == (requestClass.access() == Router.Access.WRITE);
-        boolean keyFits = keyed || requestClass.idempotency() != Router.Idempotency.KEYED;
-        return accessFits && keyFits;
+    private static boolean matches(RequestClass requestClass, boolean write, boolean keyed) {
+        boolean accessMatches = write == (requestClass.access() == Router.Access.WRITE);
+        boolean keyMatches = keyed || requestClass.idempotency() != Router.Idempotency.KEYED;
+        return accessMatches && keyMatches;
     }
 
-    private int stricter(int fromCurrent, int fromPrevious) {
-        if (fromPrevious == NO_CLASS) {
-            return fromCurrent;
+    private int stricter(int newer, int older) {
+        if (older == NO_CLASS || newer == older) {
+            return newer;
         }
-        if (fromCurrent == NO_CLASS) {
-            return fromPrevious;
+        if (newer == NO_CLASS) {
+            return older;
         }
-        return isLooser(classes.get(fromCurrent), classes.get(fromPrevious)) ? fromPrevious : fromCurrent;
+        return isLooser(classes.get(newer), classes.get(older)) ? older : newer;
     }
 
     /** Relies on the order of {@link Router.Idempotency}, from freely retryable to not retryable. */
--- a/decisions/src/test/java/frostreel/operation/RequestClassRegistryTest.java
+++ b/decisions/src/test/java/frostreel/operation/RequestClassRegistryTest.java
@@ -70,6 +70,37 @@
         assertThat(read(AFTER_TRANSITION_US, "read")).isEqualTo(RequestClassRegistry.NO_CLASS);
     }
 
+    /** Guards against writes that run twice: a second change made the registry forget the classes before the first. */
+    @Test
+    void keepsAllClassesThatClientsMayFollowAcrossSeveralChanges() {
+        registry.replaceClasses(0, List.of(read, requestClass("refund", Access.WRITE, Idempotency.NON_IDEMPOTENT)));
+        registry.replaceClasses(
+                AFTER_TRANSITION_US, List.of(read, requestClass("refund", Access.WRITE, Idempotency.IDEMPOTENT)));
+        registry.replaceClasses(
+                AFTER_TRANSITION_US + 400_000,
+                List.of(read, requestClass("refund", Access.WRITE, Idempotency.IDEMPOTENT), post));
+        registry.replaceClasses(AFTER_TRANSITION_US + 800_000, List.of(read, post));
+
+        assertThat(idempotency(write(AFTER_TRANSITION_US + IN_TRANSITION_US, "refund")))
+                .isEqualTo(Idempotency.NON_IDEMPOTENT);
+        assertThat(idempotency(write(2 * AFTER_TRANSITION_US, "refund"))).isEqualTo(Idempotency.IDEMPOTENT);
+        assertThat(write(2 * AFTER_TRANSITION_US + 800_000, "refund")).isEqualTo(RequestClassRegistry.NO_CLASS);
+    }
+
+    /** Guards against the looser rules of a class that was dropped and added back under the same name. */
+    @Test
+    void keepsTheStricterClassThatWasDroppedAndAddedBack() {
+        registry.replaceClasses(0, List.of(read));
+        registry.replaceClasses(100_000, List.of(read, requestClass("post", Access.WRITE, Idempotency.IDEMPOTENT)));
+
+        assertThat(idempotency(keyedWrite(IN_TRANSITION_US, "post"))).isEqualTo(Idempotency.KEYED);
+        assertThat(idempotency(keyedWrite(AFTER_TRANSITION_US, "post"))).isEqualTo(Idempotency.IDEMPOTENT);
+    }
+
+    private Idempotency idempotency(int number) {
+        return registry.all().get(number).idempotency();
+    }
+
     @Test
     void givesReturningClassesTheirFormerNumber() {
         for (int i = 0; i < 100; i++) {
--- a/pooler/src/test/java/frostreel/ConfigReloaderTest.java
+++ b/pooler/src/test/java/frostreel/ConfigReloaderTest.java
@@ -13,6 +13,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.CountDownLatch;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -28,6 +29,7 @@
 
     private ManualLoop manual;
     private ServingLifecycle lifecycle;
+    private RequestClassRegistry classes;
     private ConfigReloader reloader;
 
     @BeforeEach
@@ -44,18 +46,11 @@
                 settings,
                 config.maxOpenRequests(),
                 (initial, actions) -> recordingRouter());
+        classes = new RequestClassRegistry(settings.classes());
         lifecycle = new ServingLifecycle(false, ConfigReloader.longestDeadlineUs(settings));
         EndpointSource endpoints = new EndpointSource(manual.loop, config, 0, (list, kind) -> {}, () -> {});
         reloader = new ConfigReloader(
-                manual.loop,
-                pool,
-                broker,
-                lifecycle,
-                new RequestClassRegistry(settings.classes()),
-                endpoints,
-                null,
-                config,
-                OperatorSettings.DEFAULT);
+                manual.loop, pool, broker, lifecycle, classes, endpoints, null, config, OperatorSettings.DEFAULT);
     }
 
     @AfterEach
@@ -123,6 +118,40 @@
         assertThat(maxAttempts()).as("after the second transition").isEqualTo(5);
     }
 
+    /** Guards against looser rules for clients of the first configuration, as both reloads run in one turn. */
+    @Test
+    void keepsTheStrictestClassOfTwoReloadsWhileTheLoopIsHeldUp() throws Exception {
+        String fragile = CONFIGURATION.replace("\"repeat\":\"dedup\"", "\"repeat\":\"fragile\"");
+        reload(fragile);
+        manual.advance(RequestClassRegistry.TRANSITION_US);
+        CountDownLatch release = new CountDownLatch(1);
+        manual.loop.thread().execute(() -> awaitUninterruptibly(release));
+        reloader.reload(Config.parse(CONFIGURATION, Map.of()));
+        reloader.reload(Config.parse(CONFIGURATION.replace("\"deadlineS\":10", "\"deadlineS\":7"), Map.of()));
+        release.countDown();
+        manual.run(() -> {}); // Both reloads are queued on the loop before this.
+
+        manual.advance(RequestClassRegistry.TRANSITION_US - 1);
+        assertThat(idempotencyOfKeyedWrite()).isEqualTo(Router.Idempotency.NON_IDEMPOTENT);
+
+        manual.advance(1);
+        assertThat(idempotencyOfKeyedWrite()).isEqualTo(Router.Idempotency.KEYED);
+    }
+
+    private Router.Idempotency idempotencyOfKeyedWrite() throws Exception {
+        int[] number = new int[1];
+        manual.run(() -> number[0] = classes.classNumber(manual.loop.clock().now(), "post", true, true));
+        return classes.all().get(number[0]).idempotency();
+    }
+
+    private static void awaitUninterruptibly(CountDownLatch latch) {
+        try {
+            latch.await();
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+
     @Test
     void keepsDroppedClassesForRequestsInFlight() throws Exception {
         reload(CONFIGURATION.replace("\"name\":\"post\"", "\"name\":\"pay\""));
