Look up the class of a request by its arrival, not by the time of its turn

The same cause in time: a request that waits behind another one on its connection was looked up when its turn came. If that is more than 1.2 s after a reload, it got the later class, though its client had sent it by the earlier one.

Change: QueryHandler passes the arrival of the message; the registry remembers replaced classes for the longest deadline more.

Tests, red before: PipelineTest.keepsTheRulesUnderWhichAWaitingRequestArrived (a write that may not be repeated, reset once it ran, was sent again), RequestClassRegistryTest.choosesTheClassByTheArrivalOfTheRequest.

--- a/decisions/src/main/java/frostreel/operation/RequestClassRegistry.java
+++ b/decisions/src/main/java/frostreel/operation/RequestClassRegistry.java
@@ -13,7 +13,7 @@
  *
  * <p>For {@link #TRANSITION_US} after a change, clients may still follow the replaced settings. The settings may change
  * again within that time, so a request may follow any of several, and gets the strictest of the classes that its client
- * may follow. Times are microseconds on one clock. Not thread-safe.
+ * may have followed when it arrived. Times are microseconds on one clock. Not thread-safe.
  */
 public final class RequestClassRegistry {
     /** Returned instead of a class number for a request that matches no class. */
@@ -57,26 +57,33 @@
         if (next.equals(current)) {
             return;
         }
-        superseded.forgetUntil(nowUs - TRANSITION_US);
+        superseded.forgetUntil(nowUs - TRANSITION_US - longestDeadlineUs());
         superseded.supersede(current, nowUs);
         current = next;
     }
 
+    /** A request that arrived earlier than this before its class is looked up has expired. */
+    private long longestDeadlineUs() {
+        return classes.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
+    }
+
     /** An immutable copy of all classes that have a number, indexed by that number. */
     public List<RequestClass> all() {
         return List.copyOf(classes);
     }
 
     /**
-     * The class number of a request. Its client may follow the current settings, or any that were replaced less than
-     * {@link #TRANSITION_US} ago; of all classes of that name that match, the strictest is chosen.
+     * The class number of a request. Its client may have followed the current settings, or any that were replaced less
+     * than {@link #TRANSITION_US} before the request arrived; of all classes of that name that match, the strictest is
+     * chosen.
      *
+     * @param arrivedUs when the request arrived, which may be before the latest change
      * @param write whether the request writes
      * @param keyed whether the request carries an idempotency key
      * @return {@link #NO_CLASS} if no class of that name matches
      */
-    public int classNumber(long nowUs, String name, boolean write, boolean keyed) {
-        long followedAfterUs = nowUs - TRANSITION_US;
+    public int classNumber(long arrivedUs, String name, boolean write, boolean keyed) {
+        long followedAfterUs = arrivedUs - TRANSITION_US;
         return superseded.anyAfter(followedAfterUs)
                 ? strictestNumber(superseded.after(followedAfterUs), name, write, keyed)
                 : matchingNumber(current, name, write, keyed);
--- a/decisions/src/test/java/frostreel/operation/RequestClassRegistryTest.java
+++ b/decisions/src/test/java/frostreel/operation/RequestClassRegistryTest.java
@@ -97,6 +97,18 @@
         assertThat(idempotency(keyedWrite(AFTER_TRANSITION_US, "post"))).isEqualTo(Idempotency.IDEMPOTENT);
     }
 
+    /** Guards against the rules of a later class for a request that waited behind others of its connection. */
+    @Test
+    void choosesTheClassByTheArrivalOfTheRequest() {
+        registry.replaceClasses(0, List.of(read, requestClass("post", Access.WRITE, Idempotency.NON_IDEMPOTENT)));
+        registry.replaceClasses(
+                AFTER_TRANSITION_US, List.of(read, requestClass("post", Access.WRITE, Idempotency.IDEMPOTENT)));
+        registry.replaceClasses(2 * AFTER_TRANSITION_US, List.of(read));
+
+        assertThat(idempotency(write(1, "post"))).isEqualTo(Idempotency.NON_IDEMPOTENT);
+        assertThat(idempotency(write(2 * AFTER_TRANSITION_US, "post"))).isEqualTo(Idempotency.IDEMPOTENT);
+    }
+
     private Idempotency idempotency(int number) {
         return registry.all().get(number).idempotency();
     }
--- a/pooler/src/main/java/frostreel/frontend/ClientInput.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientInput.java
@@ -97,7 +97,7 @@
         if (starting) {
             startup.onMessage(backlog.message());
         } else {
-            queries.onMessage(backlog.message());
+            queries.onMessage(backlog.message(), backlog.arrivedUs());
         }
         return true;
     }
--- a/pooler/src/main/java/frostreel/frontend/QueryHandler.java
+++ b/pooler/src/main/java/frostreel/frontend/QueryHandler.java
@@ -45,15 +45,15 @@
         return hasSentQuery;
     }
 
-    /** Handles one message. */
-    void onMessage(MessageReader message) throws PgException {
+    /** Handles one message; {@code arrivedUs} is the earliest time at which its last byte may have arrived. */
+    void onMessage(MessageReader message, long arrivedUs) throws PgException {
         switch (message.type()) {
             case TERMINATE -> connection.close();
             case QUERY -> {
                 if (message.isDiscarded()) {
                     rejectForMemory();
                 } else {
-                    onQuery(message.body());
+                    onQuery(message.body(), arrivedUs);
                 }
             }
             case SYNC -> {
@@ -74,7 +74,7 @@
         skippingToSync = true;
     }
 
-    private void onQuery(byte[] body) throws PgException {
+    private void onQuery(byte[] body, long arrivedUs) throws PgException {
         if (Statement.isEmpty(body)) {
             hasSentQuery = true;
             connection.respond(FrontEndResponses.readiness(frontEnd.lifecycle().status()));
@@ -86,10 +86,10 @@
             connection.respond(Messages.row("page", page.get()));
             return;
         }
-        onStatement(body);
+        onStatement(body, arrivedUs);
     }
 
-    private void onStatement(byte[] body) {
+    private void onStatement(byte[] body, long arrivedUs) {
         Statement statement;
         try {
             statement = Statement.parse(body);
@@ -97,7 +97,7 @@
             onInvalidQuery(e.getMessage());
             return;
         }
-        int requestClass = requestClass(statement);
+        int requestClass = requestClass(statement, arrivedUs);
         if (requestClass == RequestClassRegistry.NO_CLASS) {
             onInvalidQuery("a class that the settings do not name, or a statement that is none of its class");
         } else if (frontEnd.broker().isActive(statement.id())) {
@@ -108,9 +108,9 @@
     }
 
     /** Returns the number of a statement's class, {@link RequestClassRegistry#NO_CLASS} if none of that name fits. */
-    private int requestClass(Statement statement) {
+    private int requestClass(Statement statement, long arrivedUs) {
         return frontEnd.classes()
-                .classNumber(loop.clock().now(), statement.requestClass(), statement.write(), statement.keyed());
+                .classNumber(arrivedUs, statement.requestClass(), statement.write(), statement.keyed());
     }
 
     /** Responds to an invalid query with an error; closes the connection after too many in a row. */
--- a/pooler/src/test/java/frostreel/PipelineTest.java
+++ b/pooler/src/test/java/frostreel/PipelineTest.java
@@ -8,6 +8,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import frostreel.frontend.ArrivalTimes;
+import frostreel.operation.RequestClassRegistry;
 import java.io.ByteArrayOutputStream;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
@@ -19,6 +20,9 @@
     private static final int SHORT_DEADLINE_MS = 300;
     private static final int LONG_DEADLINE_MS = 9000;
     private static final int PIPELINED = 200;
+    /** The time in which clients follow the settings before a reload. */
+    private static final long TRANSITION_MS = RequestClassRegistry.TRANSITION_US / 1000;
+
     private final BlockingQueue<WireConnection> serversOfFirstRequest = new LinkedBlockingQueue<>();
 
     /** Starts a pooler whose primary leaves the response to the first request to the test. */
@@ -97,6 +101,35 @@
         }
     }
 
+    /** Guards against writes that run twice: the class of a waiting request was looked up when its turn came. */
+    @Test
+    void keepsTheRulesUnderWhichAWaitingRequestArrived() throws Exception {
+        String retryable = harness.settings;
+        harness.settings = retryable.replace("\"repeat\":\"dedup\"", "\"repeat\":\"fragile\"");
+        startWithFirstResponseDeferred();
+        ScriptedPeer.Script deferFirst = primary.script;
+        primary.script = (text, link) -> {
+            if (text.contains("id=second,")) {
+                link.close(); // The write may have run.
+            } else {
+                deferFirst.respond(text, link);
+            }
+        };
+        try (WireConnection client = harness.client()) {
+            client.send(first(), query(writeSql("second", LONG_DEADLINE_MS)));
+            WireConnection link = awaitFirstSentAndShortDeadlinePassed();
+            harness.settings = retryable;
+            harness.reload(harness.discovery);
+            harness.awaitCounter("reloads=1");
+            PoolerHarness.awaitElapsed(System.nanoTime(), TRANSITION_MS);
+            respondToFirst(link);
+            assertThat(value(client.readResponse())).isEqualTo("of-first");
+            assertError(client.readResponse(), "08007");
+            assertThat(primary.received.stream().filter(text -> text.contains("id=second,")))
+                    .hasSize(1);
+        }
+    }
+
     @Test
     void respondsToPipelinedRequestsInOrderAtShutdown() throws Exception {
         startWithFirstResponseDeferred();
