Combine the classes that a client may follow rule by rule, with scope and freshness

Cause: of two classes, RequestClassRegistry.isLooser compared effect, window and staleness bound. It ignored the scope of deduplication and the kind of freshness, and one of the two was taken whole, so a class with the shorter window could win with the looser effect.

Change: StrictestClass combines them: the effect that is retried least, the shortest window and the narrowest scope, the freshest data; of SESSION and BOUNDED only FRESH satisfies both. A combination that is no class of any file gets a number of its own at the reload, as the router has to know it before.

--- a/decisions/src/main/java/frostreel/operation/RequestClassRegistry.java
+++ b/decisions/src/main/java/frostreel/operation/RequestClassRegistry.java
@@ -4,16 +4,18 @@
 import frostreel.routing.Router.RequestClass;
 import java.util.ArrayList;
 import java.util.HashMap;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /**
  * Assigns numbers to request classes that remain valid when the settings change. A class that is new, or whose rules
  * have changed, gets the next free number; one that returns unchanged gets its previous number.
  *
  * <p>For {@link #TRANSITION_US} after a change, clients may still follow the replaced settings. The settings may change
- * again within that time, so a request may follow any of several, and gets the strictest of the classes that its client
- * may have followed when it arrived. Times are microseconds on one clock. Not thread-safe.
+ * again within that time, so a request may follow any of several. It gets the strictest combination of the classes that
+ * its client may have followed when the request arrived. Times are microseconds on one clock. Not thread-safe.
  */
 public final class RequestClassRegistry {
     /** Returned instead of a class number for a request that matches no class. */
@@ -22,7 +24,7 @@
     /** How long after a settings change clients may still send requests according to the previous settings. */
     public static final long TRANSITION_US = 1_200_000;
 
-    /** All classes that have ever been in force, indexed by class number. */
+    /** All classes that have ever been in force or are combinations of those, indexed by class number. */
     private final List<RequestClass> classes = new ArrayList<>();
     /** Class numbers by name in settings that were replaced. */
     private final SupersededValues<Map<String, Integer>> superseded = new SupersededValues<>();
@@ -60,6 +62,7 @@
         superseded.forgetUntil(nowUs - TRANSITION_US - longestDeadlineUs());
         superseded.supersede(current, nowUs);
         current = next;
+        numberCombinations();
     }
 
     /** A request that arrived earlier than this before its class is looked up has expired. */
@@ -67,6 +70,29 @@
         return classes.stream().mapToLong(RequestClass::deadlineUs).max().orElse(0);
     }
 
+    /**
+     * Assigns numbers to all combinations that {@link #classNumber} may return until the next change, as the router has
+     * to know every class in advance.
+     */
+    private void numberCombinations() {
+        List<Map<String, Integer>> earlier = superseded.all();
+        for (int from = 0; from < earlier.size(); from++) {
+            List<Map<String, Integer>> followed = earlier.subList(from, earlier.size());
+            for (String name : names(followed)) {
+                strictestNumber(followed, name, false, false);
+                strictestNumber(followed, name, false, true);
+                strictestNumber(followed, name, true, false);
+                strictestNumber(followed, name, true, true);
+            }
+        }
+    }
+
+    private Set<String> names(List<Map<String, Integer>> followed) {
+        Set<String> names = new HashSet<>(current.keySet());
+        followed.forEach(numbers -> names.addAll(numbers.keySet()));
+        return names;
+    }
+
     /** An immutable copy of all classes that have a number, indexed by that number. */
     public List<RequestClass> all() {
         return List.copyOf(classes);
@@ -74,8 +100,8 @@
 
     /**
      * The class number of a request. Its client may have followed the current settings, or any that were replaced less
-     * than {@link #TRANSITION_US} before the request arrived; of all classes of that name that match, the strictest is
-     * chosen.
+     * than {@link #TRANSITION_US} before the request arrived; of all classes of that name that match, the strictest
+     * combination is chosen.
      *
      * @param arrivedUs when the request arrived, which may be before the latest change
      * @param write whether the request writes
@@ -89,7 +115,7 @@
                 : matchingNumber(current, name, write, keyed);
     }
 
-    /** The strictest of the matching classes of the current settings and of earlier ones, ordered from the oldest. */
+    /** Combines the matching classes of the current settings and of earlier ones, ordered from the oldest. */
     private int strictestNumber(List<Map<String, Integer>> earlier, String name, boolean write, boolean keyed) {
         int strictest = matchingNumber(current, name, write, keyed);
         for (int i = earlier.size() - 1; i >= 0; i--) {
@@ -117,13 +143,6 @@
         if (newer == NO_CLASS) {
             return older;
         }
-        return isLooser(classes.get(newer), classes.get(older)) ? older : newer;
-    }
-
-    /** Relies on the order of {@link Router.Idempotency}, from freely retryable to not retryable. */
-    private static boolean isLooser(RequestClass candidate, RequestClass other) {
-        return candidate.idempotency().compareTo(other.idempotency()) < 0
-                || candidate.deduplicationWindowUs() > other.deduplicationWindowUs()
-                || candidate.stalenessBoundUs() > other.stalenessBoundUs();
+        return numberFor(StrictestClass.of(classes.get(newer), classes.get(older)));
     }
 }
--- a/decisions/src/main/java/frostreel/operation/SupersededValues.java
+++ b/decisions/src/main/java/frostreel/operation/SupersededValues.java
@@ -41,6 +41,11 @@
         return values;
     }
 
+    /** Returns all values that are not forgotten, ordered by the time of their replacement. */
+    List<T> all() {
+        return List.copyOf(supersededAtUs.keySet());
+    }
+
     /** Forgets the values that were replaced at this time or before. */
     void forgetUntil(long us) {
         supersededAtUs.values().removeIf(atUs -> atUs <= us);
