Leave the settings that clients may still follow to the successor in an upgrade

Cause: a process that is started within 1.2 s of a reload of the old one read only the new file, so it served clients of the replaced settings by the new ones at once: a class that may not be repeated by a looser one of the same name, a dropped class not at all, more attempts than before.

Change: at each reload ConfigReloader hands the settings that were replaced in the last 1.2 s to SupersededSettingsFile, written on the task thread beside the operators' commands; a starting process reads the file before its loop starts and continues the transition. A missing or damaged file changes nothing.

Rejected: asking the old process, which may be suspended or gone; waiting for 1.2 s before serving, which costs a start its place.

Not run: two real processes with a reload between, as their start takes a good part of the 1.2 s.

--- a/decisions/src/main/java/frostreel/operation/RequestClassRegistry.java
+++ b/decisions/src/main/java/frostreel/operation/RequestClassRegistry.java
@@ -53,6 +53,17 @@
         return classes.size() - 1;
     }
 
+    /**
+     * Adds classes that were in force in an earlier process of this pooler, before any change in this one; called in
+     * the order of the times.
+     *
+     * @param supersededAtUs when they were replaced
+     */
+    public void addSuperseded(long supersededAtUs, List<RequestClass> earlier) {
+        superseded.supersede(numbersByName(earlier), supersededAtUs);
+        numberCombinations();
+    }
+
     /** Puts other classes in force. */
     public void replaceClasses(long nowUs, List<RequestClass> replacement) {
         Map<String, Integer> next = numbersByName(replacement);
--- a/pooler/src/main/java/frostreel/ConfigReloader.java
+++ b/pooler/src/main/java/frostreel/ConfigReloader.java
@@ -3,6 +3,7 @@
 import frostreel.backend.ServerPool;
 import frostreel.broker.Broker;
 import frostreel.config.Config;
+import frostreel.config.SupersededSettings;
 import frostreel.net.EventLoop;
 import frostreel.operation.RequestClassRegistry;
 import frostreel.operation.ServingLifecycle;
@@ -11,7 +12,11 @@
 import frostreel.time.Deadlines;
 import frostreel.zones.ZoneFailoverPolicy;
 import frostreel.zones.ZoneSettings;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
 import java.util.Optional;
+import java.util.function.Consumer;
 import java.util.logging.Logger;
 
 /**
@@ -31,7 +36,12 @@
     /** Null if the operators' settings had no zone tiers at the start. */
     private final ZoneFailoverPolicy zonePolicy;
 
+    /** Receives the settings that clients may still follow at each reload, for a process that succeeds this one. */
+    private final Consumer<List<SupersededSettings>> successors;
+
     private Config inForce;
+    /** The settings that clients may still follow besides those in force, ordered by the time of their replacement. */
+    private List<SupersededSettings> superseded = List.of();
     /** The limit on attempts for a request that arrives now. */
     private int maxAttempts;
     /** The end of the time in which clients may still follow the previous settings; null before the first change. */
@@ -45,6 +55,7 @@
             RequestClassRegistry classes,
             EndpointSource endpoints,
             ZoneFailoverPolicy zonePolicy,
+            Consumer<List<SupersededSettings>> successors,
             Config config,
             OperatorSettings operatorSettings) {
         this.loop = loop;
@@ -54,6 +65,7 @@
         this.classes = classes;
         this.endpoints = endpoints;
         this.zonePolicy = zonePolicy;
+        this.successors = successors;
         clusterAtStart = operatorSettings.cluster();
         inForce = config;
         maxAttempts = config.settings().limits().maxAttempts();
@@ -66,6 +78,7 @@
     void reload(Config config) {
         loop.thread().execute(() -> {
             loop.counters().configReloads++;
+            supersede(inForce);
             apply(config.settings());
             if (!config.hasSameDiscovery(inForce)) {
                 endpoints.switchTo(config);
@@ -75,6 +88,42 @@
         });
     }
 
+    private void supersede(Config replaced) {
+        long nowUs = loop.clock().now();
+        List<SupersededSettings> followed = new ArrayList<>(superseded);
+        followed.removeIf(earlier -> earlier.supersededAtUs() <= nowUs - RequestClassRegistry.TRANSITION_US);
+        followed.add(SupersededSettings.of(replaced, nowUs));
+        superseded = List.copyOf(followed);
+        successors.accept(superseded);
+    }
+
+    /**
+     * Continues the transition of an earlier process of this pooler, whose clients are now clients of this one and may
+     * still follow settings that the earlier process has replaced. Called on the loop before the first reload.
+     */
+    void resumeTransition(List<SupersededSettings> earlier) {
+        long nowUs = loop.clock().now();
+        superseded = earlier.stream()
+                .filter(settings -> settings.supersededAtUs() > nowUs - RequestClassRegistry.TRANSITION_US)
+                .filter(settings -> settings.supersededAtUs() <= nowUs)
+                .sorted(Comparator.comparingLong(SupersededSettings::supersededAtUs))
+                .toList();
+        if (superseded.isEmpty()) {
+            return;
+        }
+        for (SupersededSettings settings : superseded) {
+            classes.addSuperseded(settings.supersededAtUs(), settings.settings().classes());
+            maxAttempts = Math.min(maxAttempts, settings.settings().limits().maxAttempts());
+        }
+        Router.Settings settings = inForce.settings();
+        broker.updateSettings(settings.with(classes.all(), maxAttempts));
+        Router.Settings afterTransition =
+                settings.with(classes.all(), settings.limits().maxAttempts());
+        long latestUs = superseded.get(superseded.size() - 1).supersededAtUs();
+        transitionEnd = loop.deadlines()
+                .at(latestUs + RequestClassRegistry.TRANSITION_US, () -> endTransition(afterTransition));
+    }
+
     /**
      * Applies settings at once, except for a higher limit on attempts, which takes effect once no client follows the
      * previous settings any more.
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -3,10 +3,12 @@
 import frostreel.backend.ServerPool;
 import frostreel.broker.Broker;
 import frostreel.config.Config;
+import frostreel.config.SupersededSettings;
 import frostreel.control.AdminListener;
 import frostreel.control.CommandExecutor;
 import frostreel.control.PeerProcessCommits;
 import frostreel.control.SharedClock;
+import frostreel.control.SupersededSettingsFile;
 import frostreel.frontend.Listener;
 import frostreel.log.Logging;
 import frostreel.membership.ClusterMember;
@@ -21,7 +23,9 @@
 import frostreel.zones.ZoneFailoverPolicy;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.util.List;
 import java.util.SplittableRandom;
+import java.util.function.Consumer;
 
 /** One pooler: creates its components, connects them, and starts and stops them. */
 public final class Pooler {
@@ -36,6 +40,7 @@
     private final EndpointSource endpoints;
     private final ServingSockets sockets;
     private final ConfigReloader reloader;
+    private final List<SupersededSettings> earlierSettings;
     private final ShutdownSequence shutdown;
     /** Null if no zone tiers are configured; the classes for zone tiers are not loaded then. */
     private final ZoneFailoverPolicy zonePolicy;
@@ -71,8 +76,18 @@
                 loop, config, configuredListWaitUs, commands::onEndpointList, readiness::serversKnown);
         readiness.beforeServing(endpoints::applyConfigured);
         sockets = new ServingSockets(loop, config, listener, admin, readiness);
+        earlierSettings = earlierSettings(config);
         reloader = new ConfigReloader(
-                loop, pool, broker, lifecycle, classes, endpoints, zonePolicy, config, operatorSettings);
+                loop,
+                pool,
+                broker,
+                lifecycle,
+                classes,
+                endpoints,
+                zonePolicy,
+                settingsForSuccessors(config),
+                config,
+                operatorSettings);
         shutdown = new ShutdownSequence(loop, lifecycle, new ClientWorkload(), clusterMembership(clusterMember));
         addStatusPages(admin, clusterMember);
         loop.onWatchEventPoll(endpoints::readNow);
@@ -80,6 +95,23 @@
         loop.thread().execute(this::start);
     }
 
+    /** Reads what an earlier process of this pooler has left; blocks. */
+    private static List<SupersededSettings> earlierSettings(Config config) {
+        return config.commandFolder()
+                .map(folder -> new SupersededSettingsFile(folder).read())
+                .orElse(List.of());
+    }
+
+    /** Returns a receiver that writes the settings to the folder of this pooler's processes, on the task thread. */
+    private Consumer<List<SupersededSettings>> settingsForSuccessors(Config config) {
+        if (config.commandFolder().isEmpty()) {
+            return superseded -> {};
+        }
+        SupersededSettingsFile file =
+                new SupersededSettingsFile(config.commandFolder().get());
+        return superseded -> loop.worker().execute(() -> file.write(superseded));
+    }
+
     private static ZoneFailoverPolicy zonePolicy(Config config, OperatorSettings operatorSettings) {
         if (operatorSettings.zones().isEmpty()) {
             return null;
@@ -201,6 +233,7 @@
 
     private void start() {
         loop.start();
+        reloader.resumeTransition(earlierSettings);
         commands.start(readiness::commandsRestored);
         endpoints.start();
         sockets.open();
--- a/pooler/src/test/java/frostreel/ConfigReloaderTest.java
+++ b/pooler/src/test/java/frostreel/ConfigReloaderTest.java
@@ -5,6 +5,7 @@
 import frostreel.backend.ServerPool;
 import frostreel.broker.Broker;
 import frostreel.config.Config;
+import frostreel.config.SupersededSettings;
 import frostreel.operation.RequestClassRegistry;
 import frostreel.operation.ServingLifecycle;
 import frostreel.routing.Router;
@@ -14,6 +15,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.atomic.AtomicReference;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -27,6 +29,9 @@
     /** The settings that the router received, in order. */
     private final List<Router.Settings> applied = new ArrayList<>();
 
+    /** The settings that the latest reload left to a successor. */
+    private final AtomicReference<List<SupersededSettings>> leftToSuccessors = new AtomicReference<>();
+
     private ManualLoop manual;
     private ServingLifecycle lifecycle;
     private RequestClassRegistry classes;
@@ -50,7 +55,16 @@
         lifecycle = new ServingLifecycle(false, ConfigReloader.longestDeadlineUs(settings));
         EndpointSource endpoints = new EndpointSource(manual.loop, config, 0, (list, kind) -> {}, () -> {});
         reloader = new ConfigReloader(
-                manual.loop, pool, broker, lifecycle, classes, endpoints, null, config, OperatorSettings.DEFAULT);
+                manual.loop,
+                pool,
+                broker,
+                lifecycle,
+                classes,
+                endpoints,
+                null,
+                leftToSuccessors::set,
+                config,
+                OperatorSettings.DEFAULT);
     }
 
     @AfterEach
@@ -138,6 +152,57 @@
         assertThat(idempotencyOfKeyedWrite()).isEqualTo(Router.Idempotency.KEYED);
     }
 
+    @Test
+    void leavesTheSettingsThatClientsMayStillFollowToASuccessor() throws Exception {
+        reloadWithMaxAttempts(3);
+        manual.advance(HALF_TRANSITION_US);
+        reloadWithMaxAttempts(2);
+        assertThat(leftToSuccessors.get())
+                .extracting(left -> left.settings().limits().maxAttempts())
+                .containsExactly(4, 3);
+
+        manual.advance(HALF_TRANSITION_US);
+        reloadWithMaxAttempts(5);
+
+        assertThat(leftToSuccessors.get())
+                .extracting(left -> left.settings().limits().maxAttempts())
+                .containsExactly(3, 2);
+    }
+
+    /** Guards against looser rules for clients of an upgraded process that was reloaded shortly before. */
+    @Test
+    void continuesTheTransitionOfAnEarlierProcess() throws Exception {
+        Config earlier = Config.parse(
+                CONFIGURATION
+                        .replace("\"repeat\":\"dedup\"", "\"repeat\":\"fragile\"")
+                        .replace(FOUR_ATTEMPTS, "\"maxAttempts\":2"),
+                Map.of());
+        long supersededAtUs = manual.loop.clock().now();
+        manual.advance(HALF_TRANSITION_US);
+
+        manual.run(() -> reloader.resumeTransition(List.of(SupersededSettings.of(earlier, supersededAtUs))));
+
+        assertThat(idempotencyOfKeyedWrite()).isEqualTo(Router.Idempotency.NON_IDEMPOTENT);
+        assertThat(inForce().classes()).hasSameSizeAs(classes.all());
+        assertThat(maxAttempts()).isEqualTo(2);
+        manual.advance(HALF_TRANSITION_US);
+        assertThat(idempotencyOfKeyedWrite()).isEqualTo(Router.Idempotency.KEYED);
+        assertThat(maxAttempts()).isEqualTo(4);
+    }
+
+    @Test
+    void ignoresSettingsThatNoClientFollowsAnyMore() throws Exception {
+        Config config = Config.parse(CONFIGURATION, Map.of());
+        long nowUs = manual.loop.clock().now();
+        List<SupersededSettings> earlier = List.of(
+                SupersededSettings.of(config, nowUs - RequestClassRegistry.TRANSITION_US),
+                SupersededSettings.of(config, nowUs + 1)); // The time of a damaged file.
+
+        manual.run(() -> reloader.resumeTransition(earlier));
+
+        assertThat(applied).isEmpty();
+    }
+
     private Router.Idempotency idempotencyOfKeyedWrite() throws Exception {
         int[] number = new int[1];
         manual.run(() -> number[0] = classes.classNumber(manual.loop.clock().now(), "post", true, true));
