Count discovery's response towards the memory of the buffers

HTTP is the last path on which a buffer grows with what a peer sends: up to 4 MiB on each of two connections. It was not counted. The body is not kept while the next response is awaited, as each request begins with a new parser; a test holds that now.

Test: PeerMemoryTest.discoveryResponseIsCountedUntilItIsComplete, red without the count.

--- a/pooler/src/main/java/frostreel/discovery/AgentConnection.java
+++ b/pooler/src/main/java/frostreel/discovery/AgentConnection.java
@@ -3,6 +3,7 @@
 import frostreel.net.EventLoop;
 import frostreel.net.SocketStream;
 import frostreel.time.Deadlines;
+import frostreel.util.BufferMemory;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
@@ -44,6 +45,8 @@
     private final Listener listener;
     private final InetSocketAddress address;
     private final IoFuture<StreamConnection> connecting;
+    /** The memory of {@link #response}. */
+    private final BufferMemory.Account inputMemory;
     /** Null until the connection is established. */
     private SocketStream stream;
 
@@ -59,6 +62,7 @@
         this.loop = loop;
         this.listener = listener;
         this.address = address;
+        inputMemory = loop.buffers().account();
         requestedUs = loop.clock().now();
         lastReceivedUs = requestedUs;
         timeout = loop.deadlines().after(timeoutUs, () -> listener.onOverdue(this, "connect timed out"));
@@ -163,6 +167,11 @@
         if (response.isComplete()) {
             reportResponse();
         }
+        countMemory();
+    }
+
+    private void countMemory() {
+        inputMemory.set(closed ? 0 : response.memoryBytes());
     }
 
     @Override
@@ -192,6 +201,7 @@
             return;
         }
         closed = true;
+        countMemory();
         loop.deadlines().cancel(timeout);
         if (stream != null) {
             stream.close();
--- a/pooler/src/main/java/frostreel/discovery/HttpResponseParser.java
+++ b/pooler/src/main/java/frostreel/discovery/HttpResponseParser.java
@@ -171,6 +171,11 @@
         return status;
     }
 
+    /** Memory of what has been received so far, in bytes. */
+    int memoryBytes() {
+        return body.size() + line.length();
+    }
+
     /** The body received so far, as UTF-8 text. */
     String body() {
         return body.toString(StandardCharsets.UTF_8);
--- a/pooler/src/test/java/frostreel/PeerMemoryTest.java
+++ b/pooler/src/test/java/frostreel/PeerMemoryTest.java
@@ -10,6 +10,7 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.LinkedBlockingQueue;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
@@ -47,6 +48,8 @@
     /** Long writes behind a read; less than 1 MiB, beyond which a client's pipelined input is dropped. */
     private static final int PIPELINED_WRITES = 6;
 
+    private static final int LONG_LIST_BYTES = 1 << 20;
+
     private final List<WireConnection> clients = new ArrayList<>();
 
     @AfterEach
@@ -210,6 +213,29 @@
         }
     }
 
+    /** A list that arrives slowly counts towards the limits, and is not kept while the next one is awaited. */
+    @Test
+    void discoveryResponseIsCountedUntilItIsComplete() throws Exception {
+        CountDownLatch mayComplete = new CountDownLatch(1);
+        start();
+        String list = PoolerHarness.list(2, false) + " ".repeat(LONG_LIST_BYTES);
+        byte[] response = TestMessages.http(list);
+        harness.discovery.script = (text, link) -> {
+            link.send(Arrays.copyOf(response, response.length - 1));
+            PoolerHarness.await(mayComplete);
+            harness.discovery.script = (later, next) -> {};
+            link.send(new byte[] {response[response.length - 1]});
+        };
+        harness.lists.add(PoolerHarness.list(1, false)); // Ends the poll that has begun.
+        WireConnection client = harness.client();
+        while (bufferedBytes(client) < LONG_LIST_BYTES) {
+            Thread.onSpinWait();
+        }
+        mayComplete.countDown();
+        harness.awaitCounter("lists=3");
+        assertThat(bufferedBytes(client)).isLessThan(LONG_LIST_BYTES);
+    }
+
     private static void assertServedOrRejected(List<String> response) {
         if (response.size() == 1) {
             assertError(response, "53300");
