Order the review cases by gravity, 7 to 10, and let case 7 mix reports and payments

The former cases 6 to 9 become 7 to 10; 6 is for a graver one. The servers tell their parameters at the start of a connection, as real ones do.

--- a/review/6/src/ManyLongAnswers.java
+++ b/review/7/src/ManyLongAnswers.java
@@ -3,16 +3,23 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 
-/** 330 clients ask for reports of 64 KiB, one at a time each; from some moment on the db servers write in pieces. */
+/**
+ * 330 clients, one request at a time each: most ask for reports of 64 KiB, some post payments with as much. From some
+ * moment on the db servers write their answers in pieces.
+ */
 final class ManyLongAnswers extends Case {
     /** Under a third of the 1,024 descriptors that the configuration grants. */
     private static final int CLIENTS = 330;
+    /** About 22% of requests are payments. */
+    private static final int PAYING_CLIENTS = 72;
     private static final int CLUSTERS = 3;
     private static final int MEMBERS = 4;
     private static final byte[] VALUE = new byte[1 << 16];
-    private static final long WORK_MS = 450;
+    private static final String HEX = "9f".repeat(1 << 16);
+    private static final long REPORT_WORK_MS = 450;
+    private static final long PAYMENT_WORK_MS = 78;
     private static final long BETWEEN_PIECES_MS = 2000;
-    private static final long QUIET_MS = 9000;
+    private static final long QUIET_MS = 12_000;
     private static final long TROUBLE_MS = 6000;
 
     private final AtomicInteger served = new AtomicInteger();
@@ -32,19 +39,22 @@
 
     @Override
     boolean play() throws Exception {
-        Settings settings = new Settings().add("arrears-report", "retryable", 4.0, 8.0, "any", 0);
+        Settings settings = new Settings()
+                .add("arrears-report", "retryable", 4.0, 8.0, "any", 0)
+                .add("payment-post", "dedup", 0.6, 3.0, "write", 0);
         Discovery discovery = new Discovery();
         for (int i = 0; i < CLUSTERS * MEMBERS; i++) {
             String role = i % MEMBERS == 0 ? "primary" : "replica";
-            discovery.put(new DbServer("s-" + i, role, this::report), i / MEMBERS, "Ready", role);
+            discovery.put(new DbServer("s-" + i, role, this::run), i / MEMBERS, "Ready", role);
         }
         pooler = startReady(settings, discovery);
         CountDownLatch done = new CountDownLatch(CLIENTS);
         for (int i = 0; i < CLIENTS; i++) {
             int cluster = i % CLUSTERS;
+            boolean pays = i < PAYING_CLIENTS;
             Net.daemon("client " + i, () -> {
                 try {
-                    askOneByOne(cluster);
+                    askOneByOne(cluster, pays);
                 } finally {
                     done.countDown();
                 }
@@ -76,9 +86,13 @@
         return "served " + served + ", refused " + refused + ", failed " + failed;
     }
 
-    private void report(DbServer.Connection connection, DbServer.Statement statement)
+    private void run(DbServer.Connection connection, DbServer.Statement statement)
             throws IOException, InterruptedException {
-        Thread.sleep(WORK_MS);
+        if (statement.write && connection.server.role.equals("replica")) {
+            connection.error("25006", "not the primary");
+            return;
+        }
+        Thread.sleep(statement.write ? PAYMENT_WORK_MS : REPORT_WORK_MS);
         if (!inPieces) {
             connection.serve(VALUE);
             return;
@@ -89,16 +103,19 @@
         connection.write(Net.message('C', Net.text("SELECT 1")), connection.status(), connection.ready());
     }
 
-    private void askOneByOne(int cluster) throws IOException, InterruptedException {
+    private void askOneByOne(int cluster, boolean pays) throws IOException, InterruptedException {
         Client client = new Client(pooler.port).start();
         while (!over) {
             String id = Client.newId();
-            Client.Answer answer = ask(client, id, cluster);
+            String statement = pays
+                    ? Client.write(id, "account-" + id, HEX, "payment-post", 3000, cluster)
+                    : Client.read(id, "account-" + cluster, "arrears-report", 8000, cluster, "");
+            Client.Answer answer = ask(client, statement);
             if (answer.kind().equals("closed") && pooler.process.isAlive()) {
                 // The close crossed the request: once more on a new connection.
                 client.close();
                 client = new Client(pooler.port).start();
-                answer = ask(client, id, cluster);
+                answer = ask(client, statement);
             }
             record.line(id + " " + answer);
             switch (answer.kind()) {
@@ -117,9 +134,9 @@
         client.close();
     }
 
-    private static Client.Answer ask(Client client, String id, int cluster) throws IOException {
+    private static Client.Answer ask(Client client, String statement) throws IOException {
         try {
-            return client.ask(Client.read(id, "account-" + cluster, "arrears-report", 8000, cluster, ""));
+            return client.ask(statement);
         } catch (IOException e) {
             return new Client.Answer("closed", e.getMessage(), null);
         }
--- a/review/stands/src/DbServer.java
+++ b/review/stands/src/DbServer.java
@@ -8,7 +8,9 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.regex.Matcher;
@@ -51,6 +53,22 @@
         }
     }
 
+    /** What a server of this protocol tells at the start of a connection. */
+    private static final List<String> PARAMETERS = List.of(
+            "application_name=svc",
+            "client_encoding=UTF8",
+            "DateStyle=ISO, MDY",
+            "default_transaction_read_only=off",
+            "in_hot_standby=off",
+            "integer_datetimes=on",
+            "IntervalStyle=postgres",
+            "is_superuser=off",
+            "server_encoding=UTF8",
+            "server_version=15.4",
+            "session_authorization=svc",
+            "standard_conforming_strings=on",
+            "TimeZone=Etc/UTC");
+
     final String name;
     volatile String role;
     /** Where the server stands in the log, in Unix milliseconds; 0 for the present, as on a primary. */
@@ -97,13 +115,15 @@
     final class Connection {
         final Socket socket;
         final DbServer server = DbServer.this;
+        private final BufferedInputStream buffered;
         private final DataInputStream in;
         private final OutputStream out;
 
         Connection(Socket socket) throws IOException {
             this.socket = socket;
             socket.setTcpNoDelay(true);
-            in = new DataInputStream(new BufferedInputStream(socket.getInputStream(), 1 << 16));
+            buffered = new BufferedInputStream(socket.getInputStream(), 1 << 16);
+            in = new DataInputStream(buffered);
             out = socket.getOutputStream();
         }
 
@@ -145,7 +165,15 @@
             if (code != 196608) {
                 throw new IOException("not a startup message");
             }
-            write(Net.message('R', new byte[4]), Net.message('K', new byte[8]), ready());
+            ByteArrayOutputStream parameters = new ByteArrayOutputStream();
+            for (String each : PARAMETERS) {
+                parameters.writeBytes(parameter(each.split("=")[0], each.split("=")[1]));
+            }
+            write(
+                    Net.message('R', new byte[4]),
+                    parameters.toByteArray(),
+                    Net.message('K', new byte[8]),
+                    ready());
         }
 
         String report() {
@@ -191,6 +219,24 @@
             return Net.message('S', Net.concat(Net.text(parameter), Net.text(value)));
         }
 
+        /** Whether the pooler has neither closed this connection nor ended its sending on it. */
+        boolean isOpen() throws IOException {
+            int timeout = socket.getSoTimeout();
+            socket.setSoTimeout(1);
+            try {
+                buffered.mark(1);
+                int next = buffered.read();
+                buffered.reset();
+                return next >= 0;
+            } catch (SocketTimeoutException e) {
+                return true;
+            } catch (IOException e) {
+                return false;
+            } finally {
+                socket.setSoTimeout(timeout);
+            }
+        }
+
         void write(byte[]... parts) throws IOException {
             out.write(Net.concat(parts));
             out.flush();
