Keep the process until responses are sent, whatever deadlines new settings have

What callers saw: after a SIGHUP whose settings dropped the class with the longest deadline, SIGTERM ended the process by itself 2.1 s later, and a client whose report was still at work got its connection closed 5.4 s before its time was over.

Cause: ConfigReloader.apply hands the longest deadline of the new settings to ServingLifecycle, and ShutdownSequence waited for that plus 1.1 s, measured by the thread of the shutdown hook. A response that had begun was cut off the same way, as its request counts as closed and its length of time is bounded by no deadline.

Change: the wait is decided on the I/O thread. It may end before all clients have left only if no client is owed a response (an open request, a response that is still being streamed or that its client has not read). Each of these ends by itself: requests by their deadline, streams and readers by their stall timeouts. Settings that arrive after SIGTERM can only bring the closing times forward, and connections are closed by the new times.

--- a/decisions/src/main/java/frostreel/operation/ServingLifecycle.java
+++ b/decisions/src/main/java/frostreel/operation/ServingLifecycle.java
@@ -44,8 +44,7 @@
 
     private final boolean hasSuccessor;
     private final long lingerUs;
-    /** Volatile because the thread that waits for the exit also reads it. */
-    private volatile long longestDeadlineUs;
+    private long longestDeadlineUs;
 
     private LifecycleState state = LifecycleState.STARTING;
     /** When operators paused the process; undefined unless {@link #state} is paused. */
@@ -102,9 +101,13 @@
         state = state.after(hasSuccessor ? LifecycleEvent.HAND_OVER : LifecycleEvent.STOP);
     }
 
-    /** Sets the longest deadline that a request may have after a settings change. */
+    /**
+     * Sets the longest deadline that a request may have after a settings change. After SIGTERM it can only shorten the
+     * shutdown: the time of SIGKILL may follow the settings before the change or those after it.
+     */
     public void setLongestDeadlineUs(long longestDeadlineUs) {
-        this.longestDeadlineUs = longestDeadlineUs;
+        this.longestDeadlineUs =
+                state.isTerminating() ? Math.min(this.longestDeadlineUs, longestDeadlineUs) : longestDeadlineUs;
     }
 
     LifecycleState state() {
@@ -122,13 +125,23 @@
     }
 
     /**
-     * Upper bound on the duration of a shutdown: a request that arrives at the end of the grace period may use its
-     * whole deadline, and its response must be sent before the process exits. Thread-safe.
+     * Upper bound on the duration of a shutdown while no client is owed a response: a request that arrives at the end
+     * of the grace period may use its whole deadline, and its response must be sent before the process exits.
      */
     public long shutdownTimeoutUs() {
         return longestDeadlineUs + SHUTDOWN_GRACE_US + KILL_MARGIN_US;
     }
 
+    /**
+     * Whether to exit although clients are still connected. Responses that are owed are not given up however long they
+     * take: their requests may have come under settings with longer deadlines, or their servers or clients may be slow.
+     *
+     * @param owedResponses the number of clients that have not received their whole response yet
+     */
+    public boolean mustExit(long nowUs, int owedResponses) {
+        return state.isTerminating() && owedResponses == 0 && nowUs >= sigtermAtUs + shutdownTimeoutUs();
+    }
+
     /** Whether to accept connections. With a successor on the same socket, only after startup and before SIGTERM. */
     public boolean accepts(long nowUs) {
         if (hasSuccessor) {
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -202,6 +202,11 @@
         public int openRequests() {
             return broker.openRequests();
         }
+
+        @Override
+        public int owedResponses() {
+            return listener.owedResponses();
+        }
     }
 
     private void addStatusPages(AdminListener admin, ClusterMember clusterMember) {
--- a/pooler/src/main/java/frostreel/ShutdownSequence.java
+++ b/pooler/src/main/java/frostreel/ShutdownSequence.java
@@ -14,6 +14,8 @@
 final class ShutdownSequence {
     private static final long CHECK_INTERVAL_US = 20_000;
     private static final long LEAVE_CLUSTER_TIMEOUT_MS = 300;
+    /** How often the waiting thread checks that the I/O thread, which reports the end, has not terminated. */
+    private static final long LOOP_CHECK_INTERVAL_MS = 500;
 
     /** The clients and requests to drain. Called on the I/O thread. */
     interface Workload {
@@ -25,6 +27,9 @@
 
         /** Returns the number of requests without a final response. */
         int openRequests();
+
+        /** Returns the number of clients that have not received the whole response to their request. */
+        int owedResponses();
     }
 
     /** The membership in a cluster, which this process gives up at its end. */
@@ -40,7 +45,11 @@
     private final ServingLifecycle lifecycle;
     private final Workload workload;
     private final ClusterMembership cluster;
-    private final CountDownLatch drained = new CountDownLatch(1);
+    private final CountDownLatch ended = new CountDownLatch(1);
+    /** Whether all clients and requests ended in time; written before {@link #ended} is counted down. */
+    private volatile boolean drained;
+    /** When the lifecycle was last applied to the workload. */
+    private long appliedAtUs;
 
     ShutdownSequence(EventLoop loop, ServingLifecycle lifecycle, Workload workload, ClusterMembership cluster) {
         this.loop = loop;
@@ -56,24 +65,47 @@
      */
     boolean run() throws InterruptedException {
         loop.thread().execute(this::begin);
-        // Without the timeout, a client that neither completes a message nor disconnects would delay the exit
-        // until SIGKILL.
-        boolean drainedInTime = drained.await(lifecycle.shutdownTimeoutUs(), TimeUnit.MICROSECONDS);
+        boolean loopEnded = false;
+        while (!loopEnded && !ended.await(LOOP_CHECK_INTERVAL_MS, TimeUnit.MILLISECONDS)) {
+            loopEnded = !loop.thread().isAlive();
+        }
         cluster.leave(LEAVE_CLUSTER_TIMEOUT_MS);
-        return drainedInTime;
+        return drained;
     }
 
     private void begin() {
         lifecycle.terminate(loop.clock().now());
-        workload.applyLifecycle();
-        loop.deadlines().at(lifecycle.closeIdleAtUs(), workload::applyLifecycle);
-        loop.deadlines().at(lifecycle.lastResponseUs(), workload::applyLifecycle);
+        applyLifecycle();
+        loop.deadlines().at(lifecycle.closeIdleAtUs(), this::applyLifecycleIfDue);
+        loop.deadlines().at(lifecycle.lastResponseUs(), this::applyLifecycleIfDue);
         awaitDrained();
     }
 
+    private void applyLifecycle() {
+        appliedAtUs = loop.clock().now();
+        workload.applyLifecycle();
+    }
+
+    /** Applies the lifecycle if one of its times has passed since; new settings may have moved them forward. */
+    private void applyLifecycleIfDue() {
+        if (hasPassed(lifecycle.closeIdleAtUs()) || hasPassed(lifecycle.lastResponseUs())) {
+            applyLifecycle();
+        }
+    }
+
+    private boolean hasPassed(long atUs) {
+        return atUs > appliedAtUs && atUs <= loop.clock().now();
+    }
+
     private void awaitDrained() {
-        if (lifecycle.mayExit(loop.clock().now(), workload.openClients(), workload.openRequests())) {
-            drained.countDown();
+        applyLifecycleIfDue();
+        long nowUs = loop.clock().now();
+        int openRequests = workload.openRequests();
+        if (lifecycle.mayExit(nowUs, workload.openClients(), openRequests)) {
+            drained = true;
+            ended.countDown();
+        } else if (lifecycle.mustExit(nowUs, Math.max(openRequests, workload.owedResponses()))) {
+            ended.countDown();
         } else {
             loop.deadlines().after(CHECK_INTERVAL_US, this::awaitDrained);
         }
--- a/pooler/src/main/java/frostreel/frontend/ClientConnection.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientConnection.java
@@ -114,6 +114,11 @@
         return isOpen() && (request.isActive() || !stream.flushed());
     }
 
+    /** Whether the client has not received the whole response to its request. */
+    boolean isOwedResponse() {
+        return mustWait();
+    }
+
     boolean mayTakeMessage() {
         return isOpen() && !mustWait();
     }
--- a/pooler/src/main/java/frostreel/frontend/ClientTable.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientTable.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.Consumer;
+import java.util.function.Predicate;
 
 /**
  * The open client connections by state: idle between requests, awaiting a complete message from the client, lingering
@@ -69,6 +70,13 @@
         clients.forEach(visitor);
     }
 
+    /** Returns the number of open connections that match. */
+    int count(Predicate<ClientConnection> condition) {
+        int[] count = {0};
+        clients.forEach(client -> count[0] += condition.test(client) ? 1 : 0);
+        return count[0];
+    }
+
     /** Returns a copy of the idle clients, so that they may change state during iteration. */
     List<ClientConnection> idleClients() {
         return new ArrayList<>(idle);
--- a/pooler/src/main/java/frostreel/frontend/Listener.java
+++ b/pooler/src/main/java/frostreel/frontend/Listener.java
@@ -117,6 +117,11 @@
         drainer.closeIfDue(nowUs);
     }
 
+    /** The number of clients that have not received the whole response to their request. */
+    public int owedResponses() {
+        return clients.count(ClientConnection::isOwedResponse);
+    }
+
     /** The number of connected clients. */
     public int openClients() {
         return clients.size();
--- a/pooler/src/test/java/frostreel/ShutdownSequenceTest.java
+++ b/pooler/src/test/java/frostreel/ShutdownSequenceTest.java
@@ -5,6 +5,8 @@
 import frostreel.operation.ServingLifecycle;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.FutureTask;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -17,6 +19,8 @@
     private static final long STEP_US = 50_000;
 
     private static final long LONGEST_DEADLINE_US = 3_000_000;
+    /** How long a test waits for an end that must not come. */
+    private static final long NOT_ENDED_MS = 100;
 
     private final FakeWorkload workload = new FakeWorkload();
     private ManualLoop manual;
@@ -27,6 +31,7 @@
         private final CountDownLatch started = new CountDownLatch(1);
         private volatile int openClients;
         private volatile int openRequests;
+        private volatile int owedResponses;
         private volatile int lifecycleApplied;
 
         @Override
@@ -44,6 +49,11 @@
         public int openRequests() {
             return openRequests;
         }
+
+        @Override
+        public int owedResponses() {
+            return owedResponses;
+        }
     }
 
     @BeforeEach
@@ -115,11 +125,77 @@
     @Test
     void leavesTheClusterAfterTheTimeoutIfClientsNeverDisconnect() throws Exception {
         workload.openClients = 1;
-        ServingLifecycle lifecycle = new ServingLifecycle(true, 0); // The shortest possible timeout.
-
+        ServingLifecycle lifecycle = new ServingLifecycle(true, LONGEST_DEADLINE_US);
         FutureTask<Boolean> result = shutDown(lifecycle);
+        manual.advance(lifecycle.shutdownTimeoutUs() - 1);
+        assertThat(result.isDone()).isFalse();
+
+        manual.advance(STEP_US);
 
         assertThat(result.get()).isFalse();
         assertThat(leftCluster).isTrue();
     }
+
+    /** Guards against a process that exits by the deadlines of new settings while a request of earlier ones is open. */
+    @Test
+    void waitsForRequestsOfEarlierSettingsWithLongerDeadlines() throws Exception {
+        workload.openClients = 1;
+        workload.openRequests = 1;
+        ServingLifecycle lifecycle = new ServingLifecycle(false, LONGEST_DEADLINE_US);
+        lifecycle.setLongestDeadlineUs(LONGEST_DEADLINE_US / 3);
+        FutureTask<Boolean> result = shutDown(lifecycle);
+
+        manual.advance(lifecycle.shutdownTimeoutUs() + STEP_US);
+        manual.advance(LONGEST_DEADLINE_US);
+        assertThat(ended(result)).isFalse();
+
+        workload.openClients = 0;
+        workload.openRequests = 0;
+        manual.advance(STEP_US);
+        assertThat(result.get()).isTrue();
+    }
+
+    /** Guards against a process that cuts off the response that a server is still sending, or a client reading. */
+    @Test
+    void waitsForResponsesThatAreStillBeingSent() throws Exception {
+        workload.openClients = 1;
+        workload.owedResponses = 1;
+        ServingLifecycle lifecycle = new ServingLifecycle(false, LONGEST_DEADLINE_US);
+        FutureTask<Boolean> result = shutDown(lifecycle);
+
+        manual.advance(lifecycle.shutdownTimeoutUs() + STEP_US);
+        manual.advance(LONGEST_DEADLINE_US);
+        assertThat(ended(result)).isFalse();
+
+        workload.owedResponses = 0;
+        manual.advance(STEP_US);
+        assertThat(result.get()).as("a client is still connected").isFalse();
+    }
+
+    /** Guards against idle clients that are closed too late, or never, as their closing times have changed. */
+    @Test
+    void closesConnectionsByTheTimesOfSettingsThatComeAfterSigterm() throws Exception {
+        workload.openClients = 1;
+        ServingLifecycle lifecycle = new ServingLifecycle(false, LONGEST_DEADLINE_US);
+        shutDown(lifecycle);
+        long earlierUs = lifecycle.lastResponseUs();
+        manual.run(() -> lifecycle.setLongestDeadlineUs(LONGEST_DEADLINE_US / 3));
+        assertThat(lifecycle.lastResponseUs()).isLessThan(earlierUs);
+
+        manual.advanceTo(lifecycle.lastResponseUs() + STEP_US);
+
+        assertThat(workload.lifecycleApplied)
+                .as("at SIGTERM and at the new time")
+                .isEqualTo(2);
+    }
+
+    /** Whether the shutdown has ended; gives the waiting thread the time that it needs to return if it has. */
+    private boolean ended(FutureTask<Boolean> result) throws Exception {
+        try {
+            result.get(NOT_ENDED_MS, TimeUnit.MILLISECONDS);
+            return true;
+        } catch (TimeoutException e) {
+            return false;
+        }
+    }
 }
--- a/pooler/src/test/java/frostreel/ShutdownTest.java
+++ b/pooler/src/test/java/frostreel/ShutdownTest.java
@@ -13,6 +13,8 @@
 import java.net.Socket;
 import java.net.SocketException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -35,6 +37,9 @@
     private static final String SHORT_DEADLINES = PoolerHarness.SETTINGS
             .replace("\"deadlineS\":10", "\"deadlineS\":0.3")
             .replace("\"onTimeS\":5", "\"onTimeS\":0.2");
+    /** Longer than a shutdown by {@link #SHORT_DEADLINES} lasts. */
+    private static final long EXIT_BY_SHORT_DEADLINES_MS = 1_700;
+
     private static final int CLIENTS = 8;
 
     /** The state of the process at SIGTERM, or how often the signal is sent. */
@@ -158,6 +163,43 @@
         }
     }
 
+    /**
+     * Guards against a process that exits by the deadlines of new settings, before the response to a request that came
+     * under the earlier ones with longer deadlines.
+     */
+    @Test
+    void requestOfEarlierSettingsGetsItsResponseBeforeExit() throws Exception {
+        CountDownLatch requestArrived = new CountDownLatch(1);
+        CountDownLatch stopping = new CountDownLatch(1);
+        replica.script = (text, link) -> {
+            requestArrived.countDown();
+            PoolerHarness.await(stopping);
+            PoolerHarness.awaitElapsed(System.nanoTime(), EXIT_BY_SHORT_DEADLINES_MS);
+            link.send(row("after-sigterm", "replica"), TestMessages.READY);
+        };
+        Map<String, String> environment = PoolerHarness.environment(configuration());
+        try (ServeProcess process = ServeProcess.start(environment)) {
+            harness.lists.add(list(1, false));
+            int port = process.awaitPort();
+            process.awaitReady();
+            try (WireConnection client = PoolerHarness.client(port)) {
+                client.send(query(readSql("1", 9000)));
+                requestArrived.await();
+                Files.writeString(
+                        Path.of(environment.get("GW_CONFIG")),
+                        configuration().replace(PoolerHarness.SETTINGS, SHORT_DEADLINES));
+                process.signal("HUP");
+                process.awaitLog("configuration reloaded");
+                process.signal("TERM");
+                process.awaitLog("stopping");
+                stopping.countDown();
+
+                assertThat(value(client.readResponse())).isEqualTo("after-sigterm");
+            }
+            assertThat(process.awaitExit()).isEqualTo(ServeProcess.EXIT_BY_SIGTERM);
+        }
+    }
+
     private static void limitDescriptors(ServeProcess process, int limit) throws IOException, InterruptedException {
         String pid = Long.toString(process.pid());
         new ProcessBuilder("prlimit", "--pid", pid, "--nofile=" + limit + ":" + limit)
