Apply a new idle timeout to connections that are idle, and the shorter of two at once

A connection to a server that was idle kept the timeout of the settings it had become idle under, so after a reload with a shorter one the server closed it first, and a request written to it ended as a reset.

Change: ServerPool.updateTimeouts restarts the timers of idle connections from when they became idle. While servers may follow either settings (1.2 s), the shorter idle timeout and the shorter time for sends to draining servers hold, as the lower limit on attempts did.

Looked at and left: the class, the limit on attempts, the window of the key and the overdue timer are held by the request; a connect timeout that runs stays as it is; the pool's rule on gone members (onlyDrainingBinds) is read at the start alone and can only refuse more.

ServerConnectionsTest.shorterIdleTimeoutAppliesToConnectionsThatAreIdle timed out before.

--- a/pooler/src/main/java/frostreel/ConfigReloader.java
+++ b/pooler/src/main/java/frostreel/ConfigReloader.java
@@ -44,6 +44,10 @@
     private List<SupersededSettings> superseded = List.of();
     /** The limit on attempts for a request that arrives now. */
     private int maxAttempts;
+    /** The shortest time after which any server may close an idle connection. */
+    private long idleTimeoutUs;
+    /** The shortest time within which sends to a draining server may have to stop. */
+    private long stopSendingUs;
     /** The end of the time in which clients may still follow the previous settings; null before the first change. */
     private Deadlines.Deadline transitionEnd;
 
@@ -69,6 +73,8 @@
         clusterAtStart = operatorSettings.cluster();
         inForce = config;
         maxAttempts = config.settings().limits().maxAttempts();
+        idleTimeoutUs = config.settings().limits().idleTimeoutUs();
+        stopSendingUs = config.settings().rules().stopSendingUs();
     }
 
     /**
@@ -125,8 +131,8 @@
     }
 
     /**
-     * Applies settings at once, except for a higher limit on attempts, which takes effect once no client follows the
-     * previous settings any more.
+     * Applies settings at once, except for a higher limit on attempts and longer times for idle connections and for
+     * sends to draining servers. Those take effect once no client and no server follows the previous settings any more.
      */
     private void apply(Router.Settings settings) {
         classes.replaceClasses(loop.clock().now(), settings.classes());
@@ -134,17 +140,26 @@
         maxAttempts = Math.min(maxAttempts, newMaxAttempts);
         Router.Settings duringTransition = settings.with(classes.all(), maxAttempts);
         Router.Settings afterTransition = settings.with(classes.all(), newMaxAttempts);
-        pool.updateSettings(afterTransition);
+        idleTimeoutUs = Math.min(idleTimeoutUs, settings.limits().idleTimeoutUs());
+        stopSendingUs = Math.min(stopSendingUs, settings.rules().stopSendingUs());
+        applyTimes(settings);
         broker.updateSettings(duringTransition);
         lifecycle.setLongestDeadlineUs(longestDeadlineUs(settings));
-        loop.setStopSendingUs(settings.rules().stopSendingUs());
         loop.deadlines().cancel(transitionEnd);
         transitionEnd =
                 loop.deadlines().after(RequestClassRegistry.TRANSITION_US, () -> endTransition(afterTransition));
     }
 
+    private void applyTimes(Router.Settings settings) {
+        pool.updateTimeouts(settings.limits().connectTimeoutUs(), idleTimeoutUs);
+        loop.setStopSendingUs(stopSendingUs);
+    }
+
     private void endTransition(Router.Settings settings) {
         maxAttempts = settings.limits().maxAttempts();
+        idleTimeoutUs = settings.limits().idleTimeoutUs();
+        stopSendingUs = settings.rules().stopSendingUs();
+        applyTimes(settings);
         broker.updateSettings(settings);
     }
 
--- a/pooler/src/main/java/frostreel/backend/ConnectionTable.java
+++ b/pooler/src/main/java/frostreel/backend/ConnectionTable.java
@@ -4,6 +4,7 @@
 import java.util.Iterator;
 import java.util.LinkedHashSet;
 import java.util.Set;
+import java.util.function.Consumer;
 
 /**
  * All connections to servers, up to a limit, with an index of the idle ones. Of a server's idle connections the most
@@ -47,6 +48,11 @@
         return connection;
     }
 
+    /** Visits each idle connection; the visitor must not change its state. */
+    void forEachIdle(Consumer<ServerConnection> visitor) {
+        byIdleTime.forEach(visitor);
+    }
+
     /** The longest idle connection to any server, null if none is idle. */
     ServerConnection longestIdle() {
         Iterator<ServerConnection> iterator = byIdleTime.iterator();
--- a/pooler/src/main/java/frostreel/backend/ServerConnection.java
+++ b/pooler/src/main/java/frostreel/backend/ServerConnection.java
@@ -56,6 +56,8 @@
     private Attempt attempt;
     /** The connect timeout while it opens, and the idle timeout while it is idle. */
     private Deadlines.Deadline deadline;
+    /** When it last became idle. */
+    private long idleSinceUs;
     /** Whether the receiver of a long response has paused reading. */
     private boolean paused;
 
@@ -154,9 +156,16 @@
 
     /** Starts the idle timeout, after which the connection is closed. */
     void onIdle(long idleCloseUs) {
+        idleSinceUs = loop.clock().now();
         deadline = loop.deadlines().after(idleCloseUs, this::close);
     }
 
+    /** Replaces the idle timeout of an idle connection; the new one counts from when it became idle. */
+    void replaceIdleTimeout(long idleCloseUs) {
+        loop.deadlines().cancel(deadline);
+        deadline = loop.deadlines().at(idleSinceUs + idleCloseUs, this::close);
+    }
+
     /** Whether the last byte of the attempt has been written. */
     boolean hasWrittenAll() {
         return stream.flushed();
--- a/pooler/src/main/java/frostreel/backend/ServerPool.java
+++ b/pooler/src/main/java/frostreel/backend/ServerPool.java
@@ -32,15 +32,21 @@
         this.loop = loop;
         servers = new ServerDirectory(settings.rules().goneMembersUsable());
         connections = new ConnectionTable(maxConnections);
-        updateSettings(settings);
+        updateTimeouts(settings.limits().connectTimeoutUs(), settings.limits().idleTimeoutUs());
     }
 
     // ---- Settings and endpoint lists. ----
 
-    /** Applies new timeouts; those that are already running are unchanged. */
-    public void updateSettings(Router.Settings settings) {
-        connectTimeoutUs = settings.limits().connectTimeoutUs();
-        idleCloseUs = (long) (settings.limits().idleTimeoutUs() * IDLE_CLOSE_SHARE);
+    /**
+     * Applies new timeouts. The connect timeout applies to connections that are opened from now on, the idle timeout
+     * also to those that are idle, as their servers apply it to them as well.
+     *
+     * @param idleTimeoutUs the time after which servers close idle connections; they are closed a little earlier
+     */
+    public void updateTimeouts(long connectTimeoutUs, long idleTimeoutUs) {
+        this.connectTimeoutUs = connectTimeoutUs;
+        idleCloseUs = (long) (idleTimeoutUs * IDLE_CLOSE_SHARE);
+        connections.forEachIdle(connection -> connection.replaceIdleTimeout(idleCloseUs));
     }
 
     /**
--- a/pooler/src/test/java/frostreel/ServerConnectionsTest.java
+++ b/pooler/src/test/java/frostreel/ServerConnectionsTest.java
@@ -81,4 +81,17 @@
         }
         assertThat(harness.pooler.counters()).doesNotContain("NOT_SENT").doesNotContain("TIMEOUT");
     }
+
+    /** Guards against requests on idle connections that their servers close earlier under new settings. */
+    @Test
+    void shorterIdleTimeoutAppliesToConnectionsThatAreIdle() throws Exception {
+        harness.settings = PoolerHarness.SETTINGS.replace("\"idleCloseS\":30", "\"idleCloseS\":1000");
+        start();
+        idleClients(1);
+
+        harness.settings = PoolerHarness.SETTINGS.replace("\"idleCloseS\":30", "\"idleCloseS\":0.1");
+        harness.reload(harness.discovery);
+
+        assertThat(replica.closedConnections.take()).isEqualTo("closed");
+    }
 }
