Reschedule the closings of a shutdown only when a reload moves them

The poll of the shutdown applied the lifecycle itself when one of its times had passed. The closings are timers of their own again, set anew only if a reload has changed their times.

--- a/pooler/src/main/java/frostreel/ShutdownSequence.java
+++ b/pooler/src/main/java/frostreel/ShutdownSequence.java
@@ -2,6 +2,8 @@
 
 import frostreel.net.EventLoop;
 import frostreel.operation.ServingLifecycle;
+import frostreel.time.Deadlines;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 
@@ -48,8 +50,10 @@
     private final CountDownLatch ended = new CountDownLatch(1);
     /** Whether all clients and requests ended in time; written before {@link #ended} is counted down. */
     private volatile boolean drained;
-    /** When the lifecycle was last applied to the workload. */
-    private long appliedAtUs;
+    /** The times at which connections close, in the settings for which {@link #closings} were scheduled. */
+    private List<Long> closingTimesUs = List.of();
+
+    private List<Deadlines.Deadline> closings = List.of();
 
     ShutdownSequence(EventLoop loop, ServingLifecycle lifecycle, Workload workload, ClusterMembership cluster) {
         this.loop = loop;
@@ -75,30 +79,25 @@
 
     private void begin() {
         lifecycle.terminate(loop.clock().now());
-        applyLifecycle();
-        loop.deadlines().at(lifecycle.closeIdleAtUs(), this::applyLifecycleIfDue);
-        loop.deadlines().at(lifecycle.lastResponseUs(), this::applyLifecycleIfDue);
-        awaitDrained();
-    }
-
-    private void applyLifecycle() {
-        appliedAtUs = loop.clock().now();
         workload.applyLifecycle();
+        awaitDrained();
     }
 
-    /** Applies the lifecycle if one of its times has passed since; new settings may have moved them forward. */
-    private void applyLifecycleIfDue() {
-        if (hasPassed(lifecycle.closeIdleAtUs()) || hasPassed(lifecycle.lastResponseUs())) {
-            applyLifecycle();
+    /** Schedules the closing of connections anew if a reload has changed its times. */
+    private void scheduleClosings() {
+        List<Long> timesUs = List.of(lifecycle.closeIdleAtUs(), lifecycle.lastResponseUs());
+        if (timesUs.equals(closingTimesUs)) {
+            return;
         }
-    }
-
-    private boolean hasPassed(long atUs) {
-        return atUs > appliedAtUs && atUs <= loop.clock().now();
+        closings.forEach(loop.deadlines()::cancel);
+        closings = timesUs.stream()
+                .map(atUs -> loop.deadlines().at(atUs, workload::applyLifecycle))
+                .toList();
+        closingTimesUs = timesUs;
     }
 
     private void awaitDrained() {
-        applyLifecycleIfDue();
+        scheduleClosings();
         long nowUs = loop.clock().now();
         int openRequests = workload.openRequests();
         if (lifecycle.mayExit(nowUs, workload.openClients(), openRequests)) {
