Read long responses only as the memory for them allows, and hold each only once

What callers saw: 330 answers of 64 KiB, each written by its server in two pieces, ended the process for lack of heap (exit code 3); 270 to 284 open requests were never answered.

Cause: nothing bounded the responses of requests that were already out. ServerConnection read whatever came, and kept it up to three times: in the reader's buffer, which was given back only at the end of the response, in a copy of the row, and in the response. BufferMemory counted it and nothing followed.

Change: BufferMemory has a third limit, half of the heap, for responses. When the head of a long message has come, ServerConnection reserves its memory, so a response that has begun to be held can always be completed. Without room the connection is not read, in the order of a queue; until then only as much is read as its buffer has room for, and a streamed row in pieces of 2 KiB. The reader gives its buffer back with each long message, and ServerResponse keeps one copy of exact size. New counter: answers_held_back.

PeerMemoryTest.longResponsesThatArriveInPiecesAreReadAsMemoryAllows ended with a reset connection before, as its process had ended for lack of heap.

--- a/pooler/src/main/java/frostreel/backend/ServerConnection.java
+++ b/pooler/src/main/java/frostreel/backend/ServerConnection.java
@@ -35,6 +35,8 @@
     }
 
     private static final OptionMap OPTIONS = OptionMap.create(Options.TCP_NODELAY, true);
+    /** What may always be read at a time, also while memory is lacking: the heads of messages, and short responses. */
+    private static final int SMALL_READ_BYTES = 1 << 11;
 
     final Server server;
     final InetSocketAddress address;
@@ -60,6 +62,8 @@
     private long idleSinceUs;
     /** Whether the receiver of a long response has paused reading. */
     private boolean paused;
+    /** Its place in the queue for memory while the next message of the response is too long to be read, else null. */
+    private BufferMemory.Waiter waitingForMemory;
 
     ServerConnection(EventLoop loop, ServerPool pool, Server server) {
         this.loop = loop;
@@ -173,6 +177,15 @@
 
     // ---- Input. ----
 
+    /** Without memory for a long response, reads only what has room in the buffer, or small pieces of a long row. */
+    @Override
+    public int maxReadBytes() {
+        if (loop.buffers().hasRoomForResponse(ServerResponse.MAX_BUFFERED_ROW_BYTES)) {
+            return Integer.MAX_VALUE;
+        }
+        return longRow.isActive() ? SMALL_READ_BYTES : Math.max(1, reader.freeBytes());
+    }
+
     @Override
     public void received(ByteBuffer in) {
         if (phase == Phase.IDLE) {
@@ -190,10 +203,35 @@
             end(BackEnd.Result.of(Outcome.ERROR));
         }
         if (phase != Phase.CLOSED) {
+            reader.trim();
+            reserveNextMessage();
             countMemory();
         }
     }
 
+    /** Reserves the memory of the next message of the response, or leaves the rest of it in the socket until it can. */
+    private void reserveNextMessage() {
+        int messageBytes = longRow.isActive() ? 0 : reader.incompleteBytes();
+        int missingBytes = messageBytes - reader.memoryBytes();
+        if (missingBytes <= 0 || messageBytes > ServerResponse.MAX_BUFFERED_ROW_BYTES + MessageReader.HEADER_BYTES) {
+            return;
+        }
+        if (loop.buffers().hasRoomForResponse(missingBytes)) {
+            reader.reserve(messageBytes);
+        } else if (waitingForMemory == null) {
+            loop.counters().responsesHeldBack++;
+            stream.suspendReads();
+            waitingForMemory = loop.buffers().awaitRoom(missingBytes, this::onMemoryAvailable);
+        }
+    }
+
+    private void onMemoryAvailable() {
+        waitingForMemory = null;
+        reserveNextMessage();
+        countMemory();
+        stream.resumeReads();
+    }
+
     private void countMemory() {
         inputMemory.set(reader.memoryBytes() + response.memoryBytes());
     }
@@ -331,6 +369,7 @@
         attempt = null;
         reader.release();
         inputMemory.set(0);
+        loop.buffers().stopWaiting(waitingForMemory);
         longRow.stop();
         loop.deadlines().cancel(deadline);
         if (stream != null) {
--- a/pooler/src/main/java/frostreel/net/EventLoop.java
+++ b/pooler/src/main/java/frostreel/net/EventLoop.java
@@ -61,6 +61,7 @@
                         .set(Options.WORKER_NAME, "frostreel")
                         .getMap());
         thread = worker.getIoThread();
+        buffers.resumeWith(thread);
         watchdog = new EventLoopWatchdog(thread);
         events = new EventLog(clock::now);
     }
--- a/pooler/src/main/java/frostreel/net/SocketStream.java
+++ b/pooler/src/main/java/frostreel/net/SocketStream.java
@@ -21,6 +21,14 @@
         /** Called with bytes that have arrived; the handler has to consume all of them. */
         void received(ByteBuffer in);
 
+        /**
+         * The most bytes that the next call of {@link #received} may pass on, at least 1. What exceeds them stays in
+         * the socket for a later read.
+         */
+        default int maxReadBytes() {
+            return Integer.MAX_VALUE;
+        }
+
         /**
          * Called after one or more calls of {@link #received}, when the socket has no more input, reading has been
          * suspended or the limit of reads per turn is reached. The end of the peer's output has not been read by then.
@@ -131,6 +139,7 @@
                 break;
             }
             ByteBuffer in = loop.readBuffer();
+            in.limit(Math.min(in.limit(), handler.maxReadBytes()));
             int count = readInto(in);
             if (count < 0) {
                 closeAndNotify();
--- a/pooler/src/main/java/frostreel/pg/MessageReader.java
+++ b/pooler/src/main/java/frostreel/pg/MessageReader.java
@@ -1,6 +1,5 @@
 package frostreel.pg;
 
-import java.io.ByteArrayOutputStream;
 import java.nio.ByteBuffer;
 import java.util.Arrays;
 
@@ -37,6 +36,8 @@
     private byte[] buffer = new byte[INITIAL_BUFFER_BYTES];
     private int from;
     private int to;
+    /** Size of the next message if the buffer was made large enough for it by {@link #reserve}, else 0. */
+    private int reservedBytes;
     /** Whether the next message is discarded; its last {@link #bytesToDiscard} bytes have not arrived yet. */
     private boolean discarding;
 
@@ -85,16 +86,34 @@
         to = buffered;
     }
 
-    /** Gives back memory of consumed messages if that is at least half of the buffer. Ends the current message. */
+    /**
+     * Gives back memory of consumed messages if that is at least half of the buffer; keeps what is reserved for the
+     * next message. Ends the current message.
+     */
     public void trim() {
-        if (buffer.length > INITIAL_BUFFER_BYTES && buffered() <= buffer.length / 2) {
-            moveTo(new byte[Math.max(INITIAL_BUFFER_BYTES, buffered())]);
+        int kept = Math.max(buffered(), reservedBytes);
+        if (buffer.length > INITIAL_BUFFER_BYTES && kept <= buffer.length / 2) {
+            moveTo(new byte[Math.max(INITIAL_BUFFER_BYTES, kept)]);
+        }
+    }
+
+    /** Makes the buffer large enough for the next message, of which this many bytes with its header are expected. */
+    public void reserve(int messageBytes) {
+        reservedBytes = messageBytes;
+        if (messageBytes > buffer.length) {
+            moveTo(new byte[messageBytes]);
         }
     }
 
+    /** Number of bytes that can be fed before the buffer has to grow. */
+    public int freeBytes() {
+        return buffer.length - buffered();
+    }
+
     /** Discards all buffered bytes and gives back the whole buffer, as its connection needs no further message. */
     public void release() {
         buffer = NO_BUFFER;
+        reservedBytes = 0;
         from = 0;
         to = 0;
     }
@@ -135,8 +154,16 @@
 
     /** Type of the next message if its header has arrived and the rest has not, else 0. */
     public byte incompleteType() {
-        boolean incomplete = !discarding && buffered() >= HEADER_BYTES && buffered() <= intAt(from + 1);
-        return incomplete ? buffer[from] : 0;
+        return isIncomplete() ? buffer[from] : 0;
+    }
+
+    /** Size with its header of the next message if that has arrived and the rest has not, else 0. */
+    public int incompleteBytes() {
+        return isIncomplete() ? 1 + intAt(from + 1) : 0;
+    }
+
+    private boolean isIncomplete() {
+        return !discarding && buffered() >= HEADER_BYTES && buffered() <= intAt(from + 1);
     }
 
     /**
@@ -173,9 +200,7 @@
 
     /** Whether the next message, which must be a row, has exactly one column that fills the row. */
     public boolean rowHoldsOneValue() {
-        return buffer[from + HEADER_BYTES] == 0
-                && buffer[from + HEADER_BYTES + 1] == 1
-                && intAt(from + HEADER_BYTES + 2) == intAt(from + 1) - Integer.BYTES - ROW_HEADER_BYTES;
+        return holdsOneValue(from + HEADER_BYTES, intAt(from + 1) - Integer.BYTES);
     }
 
     /** Consumes and returns up to {@code maxBytes} buffered bytes. */
@@ -203,6 +228,7 @@
         bodyFrom = from + typeBytes + Integer.BYTES;
         bodyTo = from + typeBytes + length;
         from = bodyTo;
+        reservedBytes = 0;
         return true;
     }
 
@@ -239,7 +265,16 @@
     }
 
     /** Appends the current message with its header, unchanged, to {@code out}. */
-    void copyTo(ByteArrayOutputStream out) {
-        out.write(buffer, bodyFrom - HEADER_BYTES, bodyTo - bodyFrom + HEADER_BYTES);
+    void copyTo(ResponseBytes out) {
+        out.append(buffer, bodyFrom - HEADER_BYTES, bodyTo - bodyFrom + HEADER_BYTES);
+    }
+
+    /** Whether the current message, which must be a row, has exactly one column that fills the row. */
+    boolean holdsOneValue() {
+        return length() >= ROW_HEADER_BYTES && holdsOneValue(bodyFrom, length());
+    }
+
+    private boolean holdsOneValue(int rowFrom, int rowBytes) {
+        return buffer[rowFrom] == 0 && buffer[rowFrom + 1] == 1 && intAt(rowFrom + 2) == rowBytes - ROW_HEADER_BYTES;
     }
 }
--- a/pooler/src/main/java/frostreel/pg/ServerResponse.java
+++ b/pooler/src/main/java/frostreel/pg/ServerResponse.java
@@ -2,8 +2,6 @@
 
 import frostreel.request.BackEnd;
 import frostreel.routing.Router.Outcome;
-import java.io.ByteArrayOutputStream;
-import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
 
 /**
@@ -36,13 +34,14 @@
     /** Size of what follows a column's name in RowDescription: table, number, type, length, modifier, format. */
     private static final int COLUMN_DESCRIPTION_BYTES = 18;
 
-    private static final int INITIAL_BUFFER_BYTES = 256;
-    private final ByteArrayOutputStream buffer = new ByteArrayOutputStream(INITIAL_BUFFER_BYTES);
+    private final ResponseBytes buffer = new ResponseBytes();
     private final ServerStatus status = new ServerStatus();
     private State state;
     private int receivedBytes;
-    /** Body of the row; null until it arrives, and for a row that is streamed. */
-    private byte[] row;
+    /** Where the body of the buffered row begins and ends in {@link #buffer}; 0 without a buffered row. */
+    private int rowFrom;
+
+    private int rowTo;
     /** The error, or null if none has arrived. */
     private ErrorResponse error;
     /** Whether the error arrived in place of a result, not within one. */
@@ -116,9 +115,10 @@
     }
 
     private void onDataRow(MessageReader message) throws PgException {
-        row = message.body();
-        advance(state == State.ROW_DESCRIBED && holdsOneValue(row), State.ROW_RECEIVED);
+        advance(state == State.ROW_DESCRIBED && message.holdsOneValue(), State.ROW_RECEIVED);
+        rowFrom = buffer.length() + MessageReader.HEADER_BYTES;
         message.copyTo(buffer);
+        rowTo = buffer.length();
     }
 
     private void onCommandComplete(MessageReader message) throws PgException {
@@ -148,9 +148,7 @@
      */
     public byte[] beginLongRow(boolean holdsOneValue) throws PgException {
         advance(state == State.ROW_DESCRIBED && holdsOneValue, State.ROW_RECEIVED);
-        byte[] before = buffer.toByteArray();
-        buffer.reset();
-        return before;
+        return buffer.takeAll();
     }
 
     private void advance(boolean valid, State next) throws PgException {
@@ -167,13 +165,6 @@
                 && CStrings.terminatorIndex(body, 2) + 1 + COLUMN_DESCRIPTION_BYTES == body.length;
     }
 
-    private static boolean holdsOneValue(byte[] body) {
-        ByteBuffer row = ByteBuffer.wrap(body);
-        return row.remaining() >= MessageReader.ROW_HEADER_BYTES
-                && row.getShort() == 1
-                && row.getInt() == row.remaining();
-    }
-
     /** Whether the body is a single string that is not empty. */
     private static boolean isOneText(byte[] body) throws PgException {
         return body.length > 1 && CStrings.terminatorIndex(body, 0) == body.length - 1;
@@ -198,7 +189,7 @@
 
     /** Memory of the buffered messages in bytes. */
     public int memoryBytes() {
-        return buffer.size() + (row == null ? 0 : row.length);
+        return buffer.memoryBytes();
     }
 
     /** Number of reports in the response that could not be parsed. */
@@ -206,10 +197,10 @@
         return status.malformedReports();
     }
 
-    /** Result of the attempt, once the response is complete or its connection has closed. */
+    /** Result of the attempt, once the response is complete or its connection has closed; called once. */
     public BackEnd.Result result() {
         Outcome outcome = outcome();
-        return result(outcome, outcome == Outcome.OK ? buffer.toByteArray() : null);
+        return result(outcome, outcome == Outcome.OK ? buffer.takeAll() : null);
     }
 
     /** Result of a health check, whose row contains the load report; see {@link #result()}. */
@@ -245,7 +236,7 @@
     }
 
     private String rowText() {
-        int from = MessageReader.ROW_HEADER_BYTES;
-        return new String(row, from, row.length - from, StandardCharsets.UTF_8);
+        byte[] value = buffer.copyOfRange(rowFrom + MessageReader.ROW_HEADER_BYTES, rowTo);
+        return new String(value, StandardCharsets.UTF_8);
     }
 }
--- a/pooler/src/main/java/frostreel/stats/Counters.java
+++ b/pooler/src/main/java/frostreel/stats/Counters.java
@@ -40,6 +40,8 @@
     public long requestsRejectedForMemory;
     /** Times that the input behind a request in progress was left in the socket because the buffers were full. */
     public long inputsHeldBack;
+    /** Times that a long response was left in the socket of its server because the buffers were full. */
+    public long responsesHeldBack;
 
     public long responsesStreamed;
     /** Streamed responses that ended incomplete. */
@@ -121,6 +123,7 @@
                 + " callers_silent=" + adminClientsTimedOut
                 + " memory_refused=" + requestsRejectedForMemory
                 + " input_held_back=" + inputsHeldBack
+                + " answers_held_back=" + responsesHeldBack
                 + " outcomes=" + outcomes;
     }
 }
--- a/pooler/src/main/java/frostreel/util/BufferMemory.java
+++ b/pooler/src/main/java/frostreel/util/BufferMemory.java
@@ -1,13 +1,29 @@
 package frostreel.util;
 
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.concurrent.Executor;
+
 /**
  * The memory of all buffers that grow with what peers send or leave unread. Each owner reports its part through an
  * {@link Account}.
  *
  * <p>Owners give back memory as soon as they do not need it. Beyond the first limit input is held back, beyond the
- * second one new requests are rejected. Used on the I/O thread.
+ * second one new requests are rejected, and up to the third one responses are read from servers; what exceeds it waits
+ * in the sockets, in the order in which it was found, see {@link #awaitRoom}. Used on the I/O thread.
  */
 public final class BufferMemory {
+    /** One who waits for memory; the identity of a place in the queue. */
+    public static final class Waiter {
+        private final int bytes;
+        private final Runnable onRoom;
+
+        private Waiter(int bytes, Runnable onRoom) {
+            this.bytes = bytes;
+            this.onRoom = onRoom;
+        }
+    }
+
     /** The owner of one buffer, or of several that it reports together. */
     public final class Account {
         private int reportedBytes;
@@ -30,8 +46,17 @@
      */
     private static final long REJECT_EIGHTHS = 3;
 
+    /** Responses are read up to half of the heap; the rest is for the program, its tables and the collector. */
+    private static final long RESPONSE_EIGHTHS = 4;
+
     private final long holdBackBytes;
     private final long rejectBytes;
+    private final long responseBytes;
+    private final Set<Waiter> waiting = new LinkedHashSet<>();
+    /** Runs a task later on the I/O thread. */
+    private Executor scheduler = Runnable::run;
+
+    private boolean resumeScheduled;
     private long heldBytes;
     private long peakBytes;
 
@@ -39,6 +64,7 @@
     public BufferMemory(long maxHeapBytes) {
         holdBackBytes = maxHeapBytes / EIGHTHS * HOLD_BACK_EIGHTHS;
         rejectBytes = maxHeapBytes / EIGHTHS * REJECT_EIGHTHS;
+        responseBytes = maxHeapBytes / EIGHTHS * RESPONSE_EIGHTHS;
     }
 
     /** Creates an account for a heap of the size that this JVM may use. */
@@ -51,9 +77,60 @@
         return new Account();
     }
 
+    /** Sets the executor that resumes those who wait for memory: on the I/O thread, after the current call. */
+    public void resumeWith(Executor executor) {
+        scheduler = executor;
+    }
+
     private void add(long changeBytes) {
         heldBytes += changeBytes;
         peakBytes = Math.max(peakBytes, heldBytes);
+        if (changeBytes < 0) {
+            scheduleResume();
+        }
+    }
+
+    private void scheduleResume() {
+        if (!resumeScheduled && firstFits()) {
+            resumeScheduled = true;
+            scheduler.execute(this::resumeWaiting);
+        }
+    }
+
+    private boolean firstFits() {
+        return !waiting.isEmpty() && hasRoomForResponse(waiting.iterator().next().bytes);
+    }
+
+    private void resumeWaiting() {
+        resumeScheduled = false;
+        while (firstFits()) {
+            Waiter first = waiting.iterator().next();
+            waiting.remove(first);
+            first.onRoom.run();
+        }
+    }
+
+    /** Whether a part of a response of this size may be read from a server. */
+    public boolean hasRoomForResponse(int bytes) {
+        return heldBytes + bytes <= responseBytes;
+    }
+
+    /**
+     * Queues for room for a part of a response.
+     *
+     * @param onRoom called once there is room and all earlier ones have it; has to report the memory or not need it
+     * @return the place in the queue, for {@link #stopWaiting}
+     */
+    public Waiter awaitRoom(int bytes, Runnable onRoom) {
+        Waiter waiter = new Waiter(bytes, onRoom);
+        waiting.add(waiter);
+        return waiter;
+    }
+
+    /** Leaves the queue; does nothing for null, or if {@code onRoom} was called. */
+    public void stopWaiting(Waiter waiter) {
+        waiting.remove(waiter);
+        scheduleResume();
     }
 
     /** The bytes that all owners hold now. */
--- a/pooler/src/test/java/frostreel/PeerMemoryTest.java
+++ b/pooler/src/test/java/frostreel/PeerMemoryTest.java
@@ -44,6 +44,11 @@
     private static final int LONGEST_BUFFERED_VALUE = (1 << 16) - 1;
 
     private static final int SERVER_CONNECTIONS = 120;
+    /** Long responses that together exceed what the smallest heap has for them. */
+    private static final int RESPONSES_IN_PIECES = 220;
+    /** Half of the smallest heap, up to which responses are read. */
+    private static final long RESPONSE_BYTES = (24L << 20) / 2;
+
     private static final int PIPELINING_CLIENTS = 30;
     /** Long writes behind a read; less than 1 MiB, beyond which a client's pipelined input is dropped. */
     private static final int PIPELINED_WRITES = 6;
@@ -101,7 +106,8 @@
     @Test
     void connectionsToServersHoldNoMemoryAfterALongResponse() throws Exception {
         replica.script = PoolerHarness.rows("v".repeat(LONGEST_BUFFERED_VALUE), "replica");
-        String configuration = PoolerHarness.configuration(harness.discovery.address(), manyReplicas())
+        String configuration = PoolerHarness.configuration(
+                        harness.discovery.address(), manyReplicas(SERVER_CONNECTIONS))
                 .replace("\"sockets\":128", "\"sockets\":" + DESCRIPTORS);
         try (ServeProcess process =
                 ServeProcess.startWithJvmOptions(SMALL_HEAP, PoolerHarness.environment(configuration))) {
@@ -236,6 +242,43 @@
         assertThat(bufferedBytes(client)).isLessThan(LONG_LIST_BYTES);
     }
 
+    /** Guards against a crash: responses that their servers write in pieces held memory without a limit. */
+    @Test
+    void longResponsesThatArriveInPiecesAreReadAsMemoryAllows() throws Exception {
+        CountDownLatch allArrived = new CountDownLatch(RESPONSES_IN_PIECES);
+        CountDownLatch mayComplete = new CountDownLatch(1);
+        byte[] head = LongValuesTest.head(LONGEST_BUFFERED_VALUE, LONGEST_BUFFERED_VALUE);
+        byte[] value = new byte[LONGEST_BUFFERED_VALUE];
+        replica.script = (text, link) -> {
+            allArrived.countDown();
+            PoolerHarness.await(allArrived);
+            link.send(head, value);
+            PoolerHarness.await(mayComplete);
+            link.send(LongValuesTest.TAIL);
+        };
+        String configuration = PoolerHarness.configuration(
+                        harness.discovery.address(), manyReplicas(RESPONSES_IN_PIECES))
+                .replace("\"sockets\":128", "\"sockets\":" + DESCRIPTORS);
+        try (ServeProcess process =
+                ServeProcess.startWithJvmOptions(SMALLEST_HEAP, PoolerHarness.environment(configuration))) {
+            int port = process.awaitPort();
+            process.awaitReady();
+            for (int i = 0; i < RESPONSES_IN_PIECES; i++) {
+                connect(port).send(query(readSql("read" + i, 19_000)));
+            }
+            WireConnection observer = connect(port);
+            while (counter(observer, "answers_held_back") == 0) {
+                Thread.onSpinWait();
+            }
+            mayComplete.countDown();
+            for (WireConnection client : clients.subList(0, RESPONSES_IN_PIECES)) {
+                assertThat(value(client.readResponse())).hasSize(LONGEST_BUFFERED_VALUE);
+            }
+            assertThat(healthValue(observer, "buffered_peak_bytes"))
+                    .isLessThan(RESPONSE_BYTES + BYTES_READ_IN_ONE_TURN);
+        }
+    }
+
     private static void assertServedOrRejected(List<String> response) {
         if (response.size() == 1) {
             assertError(response, "53300");
@@ -249,8 +292,8 @@
     }
 
     /** Returns a primary and replicas, all of which are the same scripted server. */
-    private String[] manyReplicas() {
-        String[] hosts = new String[1 + SERVER_CONNECTIONS];
+    private String[] manyReplicas(int count) {
+        String[] hosts = new String[1 + count];
         hosts[0] = host("a", primary, "primary", "Ready");
         for (int i = 1; i < hosts.length; i++) {
             hosts[i] = host("b" + i, replica, "replica", "Ready");
--- a/pooler/src/test/java/frostreel/util/BufferMemoryTest.java
+++ b/pooler/src/test/java/frostreel/util/BufferMemoryTest.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** The sum of all accounts and its limits. */
@@ -37,4 +39,44 @@
         account.set(0);
         assertThat(buffers.holdsBackInput() || buffers.rejectsRequests()).isFalse();
     }
+
+    /** Guards against responses that overtake those that have waited longer, so that the latter time out. */
+    @Test
+    void roomForResponsesIsGivenInTheOrderOfTheQueue() {
+        List<String> resumed = new ArrayList<>();
+        BufferMemory.Account held = buffers.account();
+        BufferMemory.Account first = buffers.account();
+        held.set(4_000);
+        buffers.awaitRoom(900, () -> {
+            resumed.add("first");
+            first.set(900);
+        });
+        BufferMemory.Waiter second = buffers.awaitRoom(100, () -> resumed.add("second"));
+        buffers.awaitRoom(200, () -> resumed.add("third"));
+
+        held.set(3_500);
+        assertThat(resumed)
+                .as("there is room for the second, but not for the first")
+                .isEmpty();
+        held.set(3_000);
+        assertThat(resumed).containsExactly("first", "second");
+        buffers.stopWaiting(second); // Has no effect any more.
+        held.set(2_900);
+
+        assertThat(resumed).containsExactly("first", "second", "third");
+    }
+
+    /** Guards against a queue that stands still once its first has left it. */
+    @Test
+    void whoLeavesTheQueueLetsTheNextPass() {
+        List<String> resumed = new ArrayList<>();
+        BufferMemory.Account held = buffers.account();
+        held.set(3_500);
+        BufferMemory.Waiter first = buffers.awaitRoom(900, () -> resumed.add("first"));
+        buffers.awaitRoom(100, () -> resumed.add("second"));
+
+        buffers.stopWaiting(first);
+
+        assertThat(resumed).containsExactly("second");
+    }
 }
