Hold back pipelined input instead of dropping it, and probe for clients that have left

Cause: beyond 1 MiB behind an active request, ClientConnection read and dropped input, to find the end of the connection behind it, and ClientInput closed the connection after what it had kept. What was dropped had been taken.

Change: up to 1 MiB is read ahead; the rest stays in the socket (SocketStream asks its handler how much it may read). A close behind unread input is found by DisconnectProbe, which writes a ParameterStatus in two parts: the second fails if the client has closed.

--- a/pooler/src/main/java/frostreel/frontend/ClientBacklog.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientBacklog.java
@@ -14,6 +14,7 @@
     /** Fits a query with a value of 64 KiB, whose hexadecimal text is twice as long, and the text around it. */
     private static final int MAX_MESSAGE_BYTES = (1 << 17) + (1 << 12);
 
+    /** How much is read ahead behind an active request, to find the disconnect of its client. */
     private static final int MAX_BYTES = 1 << 20;
     /** Incomplete queries up to this size are kept even while requests are rejected for lack of memory. */
     private static final int MAX_KEPT_INCOMPLETE_BYTES = 1 << 13;
@@ -31,7 +32,6 @@
     private long readCompletedUs;
 
     private long arrivedUs;
-    private boolean overrun;
 
     ClientBacklog(EventLoop loop) {
         this.loop = loop;
@@ -92,19 +92,9 @@
         }
     }
 
-    /**
-     * Checks the size against its limit, and stores the result. After an overrun, further input is dropped and the
-     * connection is closed after its last response. The socket is still read up to
-     * {@link LingeringClose#MAX_DROPPED_BYTES}, so that a disconnect is detected; beyond that, reading is suspended.
-     */
-    boolean checkOverrun() {
-        overrun = reader.buffered() > MAX_BYTES;
-        return overrun;
-    }
-
-    /** Whether the last check found an overrun. */
-    boolean isOverrun() {
-        return overrun;
+    /** How many bytes may be read ahead now; 0 if the rest has to stay in the socket. */
+    int readAheadBytes() {
+        return Math.max(0, MAX_BYTES - reader.buffered());
     }
 
     /** Gives back the memory of the messages that were taken, and reports the rest. */
--- a/pooler/src/main/java/frostreel/frontend/ClientConnection.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientConnection.java
@@ -31,11 +31,14 @@
     private final ClientInput input;
     private final ClientRequest request;
     private final LingeringClose lingering;
+    private final DisconnectProbe probe;
     private final int secret;
 
     private long slot;
     private CancelKey cancelKey;
     private Phase phase = Phase.STARTUP;
+    /** Whether reading is suspended until messages were processed. */
+    private boolean inputHeldBack;
 
     ClientConnection(FrontEnd frontEnd, StreamConnection connection, int secret) {
         this.frontEnd = frontEnd;
@@ -45,6 +48,7 @@
         stream = new SocketStream(loop, connection, this);
         timeouts = new ClientTimeouts(loop.clock(), loop.deadlines(), stream::pendingBytes, this);
         lingering = new LingeringClose(loop.deadlines(), this::close);
+        probe = new DisconnectProbe(loop.deadlines(), stream);
         input = new ClientInput(frontEnd, stream, this);
         request = new ClientRequest(frontEnd, stream, this);
     }
@@ -87,17 +91,18 @@
 
     @Override
     public void received(ByteBuffer in) {
-        if (phase != Phase.LINGERING && !input.isOverrun()) {
+        if (phase != Phase.LINGERING) {
             input.add(in);
         } else if (lingering.exceedsDropLimit(in.remaining())) {
-            if (phase == Phase.LINGERING) {
-                close();
-            } else {
-                stream.suspendReads();
-            }
+            close();
         }
     }
 
+    @Override
+    public int maxReadBytes() {
+        return input.maxReadBytes();
+    }
+
     @Override
     public void readCompleted() {
         input.onReadCompleted();
@@ -123,19 +128,39 @@
         return isOpen() && !mustWait();
     }
 
-    /** Leaves further input in the socket until the next message may be processed. */
-    void holdBackInput() {
-        stream.suspendReads();
-    }
-
-    /** Called when messages were processed: resumes reading and starts the next timeout unless a request is active. */
+    /** Called when messages were processed: reads on or not, and starts the next timeout unless a request is active. */
     void onMessagesTaken() {
-        if (isOpen() && !request.isActive()) {
-            stream.resumeReads();
+        if (!isOpen()) {
+            return;
+        }
+        if (input.mustHoldBack()) {
+            holdBackInput();
+        } else {
+            readOn();
+        }
+        if (!request.isActive()) {
             awaitNext();
         }
     }
 
+    /** Leaves further input in the socket until messages were processed again. */
+    private void holdBackInput() {
+        if (!inputHeldBack) {
+            inputHeldBack = true;
+            loop.counters().inputsHeldBack++;
+            stream.suspendReads();
+        }
+        if (request.awaitsResponse()) {
+            probe.start();
+        }
+    }
+
+    private void readOn() {
+        inputHeldBack = false;
+        probe.stop();
+        stream.resumeReads();
+    }
+
     /** Completes the startup, as the startup message was accepted. */
     void onStarted() {
         phase = Phase.RUNNING;
@@ -209,12 +234,24 @@
         input.takeMessages();
     }
 
-    /** Whether the client is still connected; reads its socket first unless that was just done or memory is lacking. */
+    /**
+     * Whether the client is still connected. Reads its socket first unless that was just done or memory is lacking, and
+     * probes the connection if its end may lie behind unread input.
+     */
     boolean isClientConnected() {
-        if (!input.wasReadJustNow() && input.mayGrow()) {
+        boolean mayRead = input.mayGrow();
+        if (!input.wasReadJustNow() && mayRead) {
             stream.readNow();
         }
-        return phase != Phase.CLOSED;
+        if (isOpen() && (!mayRead || stream.mayHaveUnreadInput())) {
+            probe.run();
+        }
+        return phase != Phase.CLOSED && !stream.wasReset();
+    }
+
+    /** A response has begun, within which nothing else may be written. */
+    void onResponseBegins() {
+        probe.stop();
     }
 
     // ---- Close. ----
@@ -235,6 +272,7 @@
         if (isOpen()) {
             phase = Phase.LINGERING;
             timeouts.cancel();
+            probe.stop();
             lingering.begin(frontEnd.lifecycle().lingerUs());
             clients.markLingering(this);
             stream.end();
@@ -276,6 +314,7 @@
         }
         phase = Phase.CLOSED;
         timeouts.cancel();
+        probe.stop();
         lingering.cancel();
         input.release();
         loop.counters().clientsClosed++;
--- a/pooler/src/main/java/frostreel/frontend/ClientInput.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientInput.java
@@ -40,24 +40,20 @@
         readJustNow = true;
         takeMessages();
         readJustNow = readBefore;
-        if (connection.mustWait()) {
-            limitBacklog();
-        } else if (connection.isOpen() && loop.buffers().rejectsRequests()) {
+        if (connection.mayTakeMessage() && loop.buffers().rejectsRequests()) {
             backlog.discardLongIncompleteQuery();
         }
     }
 
-    /** Limits the input behind an active request or an unread response. */
-    private void limitBacklog() {
-        if (backlog.isOverrun()) {
-            return;
-        }
-        if (backlog.checkOverrun()) {
-            loop.counters().malformedMessages++;
-        } else if (loop.buffers().holdsBackInput()) {
-            loop.counters().inputsHeldBack++;
-            connection.holdBackInput();
-        }
+    /** The most bytes that may be read now; 0 or less if input has to stay in the socket. */
+    int maxReadBytes() {
+        return connection.mustWait() ? backlog.readAheadBytes() : Integer.MAX_VALUE;
+    }
+
+    /** Whether input behind an active request, or behind an unread response, has to stay in the socket. */
+    boolean mustHoldBack() {
+        return connection.mustWait()
+                && (backlog.readAheadBytes() == 0 || loop.buffers().holdsBackInput());
     }
 
     /** Processes the messages that have arrived, up to the first request that does not end at once. */
@@ -89,9 +85,6 @@
     private boolean takeMessage() throws PgException {
         boolean starting = connection.isStarting();
         if (!backlog.next(starting)) {
-            if (backlog.isOverrun()) {
-                connection.closeWithError(SqlState.PROTOCOL_VIOLATION, "too much at once behind a request in hand");
-            }
             return false;
         }
         if (starting) {
@@ -134,11 +127,6 @@
         return backlog.mayGrow();
     }
 
-    /** Whether the unprocessed input exceeds its limit, so that further input is dropped. */
-    boolean isOverrun() {
-        return backlog.isOverrun();
-    }
-
     /** Discards the input, of which no further message is taken, and gives back its memory. */
     void release() {
         backlog.release();
--- a/pooler/src/main/java/frostreel/frontend/ClientRequest.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientRequest.java
@@ -45,6 +45,11 @@
         return active;
     }
 
+    /** Whether a request was submitted and no part of its response has come yet. */
+    boolean awaitsResponse() {
+        return active && responseSource == null;
+    }
+
     /** Submits a request; its response may be written before this returns. */
     void submit(Statement statement, int requestClass, long arrivedUs) {
         long now = loop.clock().now();
@@ -99,6 +104,7 @@
     @Override
     public BackEnd.ResponseStream longResponseBegins(BackEnd.ResponseSource source) {
         responseSource = source;
+        connection.onResponseBegins();
         return piece -> {
             stream.write(piece);
             if (stream.pendingBytes() > MAX_PENDING_BYTES || (loop.buffers().holdsBackInput() && !stream.flushed())) {
--- a/pooler/src/main/java/frostreel/net/SocketStream.java
+++ b/pooler/src/main/java/frostreel/net/SocketStream.java
@@ -22,8 +22,8 @@
         void received(ByteBuffer in);
 
         /**
-         * The most bytes that the next call of {@link #received} may pass on, at least 1. What exceeds them stays in
-         * the socket for a later read.
+         * The most bytes that the next call of {@link #received} may pass on; 0 or less ends the turn. What exceeds
+         * them stays in the socket for a later read.
          */
         default int maxReadBytes() {
             return Integer.MAX_VALUE;
@@ -63,6 +63,7 @@
     /** Whether to shut down the output once no output is pending. */
     private boolean endsOutputWhenFlushed;
 
+    private boolean mayHaveUnreadInput;
     private boolean reset;
     private boolean closed;
     /** Whether the connection was closed before the socket had accepted all output. */
@@ -138,8 +139,12 @@
             if (closed || !(evenIfSuspended || source.isReadResumed())) {
                 break;
             }
+            int maxBytes = handler.maxReadBytes();
+            if (maxBytes <= 0) {
+                break;
+            }
             ByteBuffer in = loop.readBuffer();
-            in.limit(Math.min(in.limit(), handler.maxReadBytes()));
+            in.limit(Math.min(in.limit(), maxBytes));
             int count = readInto(in);
             if (count < 0) {
                 closeAndNotify();
@@ -151,11 +156,20 @@
                 handler.received(in.flip());
             }
         }
+        mayHaveUnreadInput = more;
         if (!closed && successfulReads != previousReads) {
             handler.readCompleted();
         }
     }
 
+    /**
+     * Whether the last turn of reads ended before the socket had no more input, so that the end of the peer's output
+     * may lie behind what is unread.
+     */
+    public boolean mayHaveUnreadInput() {
+        return mayHaveUnreadInput;
+    }
+
     /** Returns the number of bytes read, {@link #END_OF_STREAM} if the connection has ended or is broken. */
     private int readInto(ByteBuffer in) {
         try {
--- a/pooler/src/main/java/frostreel/pg/Messages.java
+++ b/pooler/src/main/java/frostreel/pg/Messages.java
@@ -66,6 +66,14 @@
         return message(MessageType.AUTHENTICATION, body.toByteArray());
     }
 
+    /**
+     * A ParameterStatus that repeats a value of the startup response. Clients accept it at any time between messages, and it
+     * changes nothing for them.
+     */
+    public static byte[] unchangedParameter() {
+        return parameterStatus(PARAMETERS[0][0], PARAMETERS[0][1]);
+    }
+
     private static byte[] parameterStatus(String name, String value) {
         ByteArrayOutputStream body = new ByteArrayOutputStream();
         writeText(body, name);
