Look at an attempt again after asking whether it may begin, and never unsay its end

Cause: ServerPool.onOpened took a new connection out of the connections being opened while its attempt still waited, and asked mayBegin(). That reads the client's socket, before which unread changes of the list are read if that is due, as it is after a hold-up. closeUnusableConnections then found one attempt more than connections and ended it as NOT_SENT; the router retried at once. Back in nextToBegin nobody looked whether the attempt was still open: its query was written, beside that of its successor.

Change: a connection that is open is idle, and counts as one for the attempts that wait, until one of them runs on it; after mayBegin() the pool looks at the attempt again. A connection whose server has a new address is closed instead of used.

Same cause elsewhere, with its test where one could be made: - an attempt whose end was queued was ended as NOT_SENT by a cancel or time-out ahead of it, which proves a retry harmless; BackEnd.abandon now says that it had ended (BrokerTest .cancellingAnAttemptThatHasEndedKeepsItsOutcome fails if that is treated as before); - the router was asked whether an attempt may begin before the look at the client, and not after it; - the end of a response made the connection free, with the same calls, before the attempt was ended: abandoning it then would have closed the connection under its successor; - ServerConnection went on with a long row although the attempt may have been abandoned when the row was announced; closeUnusableConnections counted its excess before calls that change it; a health check that ended at once left its timer; the lab's VirtualBackEnd began an attempt that mayBegin() had ended. These four are by reading.

--- a/lab/src/main/java/frostreel/lab/virtual/VirtualBackEnd.java
+++ b/lab/src/main/java/frostreel/lab/virtual/VirtualBackEnd.java
@@ -117,7 +117,7 @@
         scheduler.after(links.delayUs(zone, to) + links.delayUs(to, zone), () -> {
             if (!attempt.server.up()) {
                 finish(attempt, Result.of(Outcome.CONNECT_FAILED));
-            } else if (isInFlight(attempt) && attempt.listener.mayBegin()) {
+            } else if (isInFlight(attempt) && attempt.listener.mayBegin() && isInFlight(attempt)) {
                 onConnected.run();
             } else {
                 finish(attempt, Result.of(Outcome.NOT_SENT));
@@ -240,17 +240,17 @@
     }
 
     @Override
-    public boolean abandon(long handle) {
+    public Abandoned abandon(long handle) {
         SimulatedAttempt attempt = attempts.remove(handle);
         if (attempt == null) {
-            return false;
+            return Abandoned.ALREADY_ENDED;
         }
         Outcome outcome = attempt.written ? Outcome.TIMEOUT : Outcome.NOT_SENT;
         runListener.attemptEnded(scheduler.now(), pooler, attempt.payload.id(), outcome, attempt.written);
         if (attempt.job != null && links.open(zone, attempt.server.zone)) {
             scheduler.after(links.delayUs(zone, attempt.server.zone), () -> attempt.server.cancel(attempt.job));
         }
-        return attempt.written;
+        return attempt.written ? Abandoned.MAY_HAVE_REACHED_SERVER : Abandoned.NOT_SENT;
     }
 
     @Override
--- a/pooler/src/main/java/frostreel/backend/Server.java
+++ b/pooler/src/main/java/frostreel/backend/Server.java
@@ -53,8 +53,8 @@
         return unusable;
     }
 
-    /** Number of waiting attempts minus number of connections being opened; negative if fewer attempts wait. */
+    /** Number of waiting attempts minus number of connections for them, opening or idle; negative if fewer wait. */
     int attemptsWithoutConnection() {
-        return waiting.size() - opening.size();
+        return waiting.size() - opening.size() - idle.size();
     }
 }
--- a/pooler/src/main/java/frostreel/backend/ServerConnection.java
+++ b/pooler/src/main/java/frostreel/backend/ServerConnection.java
@@ -269,7 +269,11 @@
         boolean forRequest = attempt != null && !attempt.isHealthCheck();
         // Throws for a health check, and during startup, when there is no attempt.
         byte[] head = response.beginLongRow(forRequest && reader.rowHoldsOneValue());
-        BackEnd.ResponseStream target = attempt.listener.longResponseBegins(this);
+        Attempt receiver = attempt;
+        BackEnd.ResponseStream target = receiver.listener.longResponseBegins(this);
+        if (attempt != receiver) {
+            return false; // It was abandoned in the call.
+        }
         if (target == null) {
             end(BackEnd.Result.of(Outcome.CANCELLED));
             return false;
@@ -318,8 +322,7 @@
         attempt = null;
         phase = Phase.IDLE;
         releaseResponse();
-        pool.onFree(this);
-        pool.finish(endedAttempt, result);
+        pool.onResponded(this, endedAttempt, result);
     }
 
     // ---- End of the connection. ----
--- a/pooler/src/main/java/frostreel/backend/ServerPool.java
+++ b/pooler/src/main/java/frostreel/backend/ServerPool.java
@@ -76,9 +76,7 @@
     public void closeUnusableConnections() {
         for (Server server : List.copyOf(servers.all())) {
             server.unusableConnections().forEach(ServerConnection::close);
-            for (int excess = server.attemptsWithoutConnection(); excess > 0; excess--) {
-                finish(server.waiting.pollFirst(), Result.of(Outcome.NOT_SENT));
-            }
+            endAttemptsWithoutConnection(server, Outcome.NOT_SENT);
         }
     }
 
@@ -96,34 +94,45 @@
     public void checkHealth(String memberId, AttemptListener listener) {
         Attempt attempt = Attempt.healthCheck(servers.get(memberId), listener);
         begin(attempt);
-        attempt.timeout = loop.deadlines().after(connectTimeoutUs, () -> {
-            if (attempts.get(attempt.handle) != null) {
-                abandon(attempt.handle);
-                attempt.listener.ended(Result.of(Outcome.TIMEOUT));
-            }
-        });
+        if (isOpen(attempt)) {
+            attempt.timeout = loop.deadlines().after(connectTimeoutUs, () -> {
+                if (abandon(attempt.handle) != Abandoned.ALREADY_ENDED) {
+                    attempt.listener.ended(Result.of(Outcome.TIMEOUT));
+                }
+            });
+        }
     }
 
     private void begin(Attempt attempt) {
         attempt.handle = attempts.add(attempt);
         Server server = attempt.server;
-        if (server == null) {
+        if (attempt.handle == SlotTable.NONE) {
+            attempt.listener.ended(Result.of(Outcome.REJECTED));
+        } else if (server == null) {
             finish(attempt, Result.of(Outcome.CONNECT_FAILED));
         } else if (!server.isUsable()) {
             finish(attempt, Result.of(Outcome.NOT_SENT));
-        } else if (!runOnIdleConnection(attempt)) {
+        } else if (!server.waiting.isEmpty() || !runOnIdleConnection(attempt)) {
             awaitConnection(attempt);
         }
     }
 
     private boolean runOnIdleConnection(Attempt attempt) {
         ServerConnection connection = connections.takeIdle(attempt.server);
-        while (connection != null && !connection.tryRun(attempt)) {
+        while (connection != null && !tryRun(connection, attempt)) {
             connection = connections.takeIdle(attempt.server);
         }
         return connection != null;
     }
 
+    private static boolean tryRun(ServerConnection connection, Attempt attempt) {
+        if (!attempt.server.mayUse(connection)) { // Its address has changed; it has not been closed yet.
+            connection.close();
+            return false;
+        }
+        return connection.tryRun(attempt);
+    }
+
     private void awaitConnection(Attempt attempt) {
         Server server = attempt.server;
         server.waiting.add(attempt);
@@ -132,7 +141,6 @@
         }
         if (connections.isFull()) {
             // The pooler has reached its own connection limit; the router backs off as for a server at its limit.
-            server.waiting.remove(attempt);
             finish(attempt, Result.of(Outcome.REJECTED));
         } else {
             openConnection(server);
@@ -166,78 +174,98 @@
     }
 
     @Override
-    public boolean abandon(long attemptHandle) {
-        Attempt attempt = attempts.remove(attemptHandle);
+    public Abandoned abandon(long attemptHandle) {
+        Attempt attempt = attempts.get(attemptHandle);
         if (attempt == null) {
-            return false;
+            return Abandoned.ALREADY_ENDED;
         }
-        loop.deadlines().cancel(attempt.timeout);
+        remove(attempt);
         if (attempt.connection == null) {
-            attempt.server.waiting.remove(attempt); // The connection opened for it serves a later attempt.
-            return false;
+            return Abandoned.NOT_SENT; // The connection opened for it serves a later attempt.
         }
         boolean mayHaveReachedServer = attempt.connection.hasWrittenAll();
         attempt.connection.close();
-        return mayHaveReachedServer;
+        return mayHaveReachedServer ? Abandoned.MAY_HAVE_REACHED_SERVER : Abandoned.NOT_SENT;
     }
 
     /** Ends an attempt and notifies its listener, unless the attempt has ended already. */
     void finish(Attempt attempt, Result result) {
-        if (attempts.remove(attempt.handle) != null) {
-            loop.deadlines().cancel(attempt.timeout);
+        if (isOpen(attempt)) {
+            remove(attempt);
             attempt.listener.ended(result);
         }
     }
 
+    private boolean isOpen(Attempt attempt) {
+        return attempts.get(attempt.handle) == attempt;
+    }
+
+    /** Removes an open attempt, which waits no longer. */
+    private void remove(Attempt attempt) {
+        attempts.remove(attempt.handle);
+        loop.deadlines().cancel(attempt.timeout);
+        if (attempt.server != null && attempt.connection == null) {
+            attempt.server.waiting.remove(attempt);
+        }
+    }
+
     // ---- Connection events. ----
 
     /** Called when a connection is open and its server has accepted the startup message. */
     void onOpened(ServerConnection connection) {
         connections.onOpened(connection);
-        onFree(connection);
+        addIdle(connection);
+        runWaiting(connection.server);
     }
 
     /** Called when a connection could not be opened. */
     void onOpenFailed(ServerConnection connection, Outcome outcome) {
         loop.counters().serverConnectionsFailed++;
-        failFirstWithoutConnection(connection.server, outcome);
+        endAttemptsWithoutConnection(connection.server, outcome);
     }
 
-    /**
-     * Called when a connection is free and was left clean by its last response: it runs the longest waiting attempt
-     * that may still begin, or becomes idle. A connection that may no longer be used is closed.
-     */
-    void onFree(ServerConnection connection) {
-        Server server = connection.server;
-        Attempt next = nextToBegin(server);
-        if (!server.mayUse(connection)) {
-            connection.close();
-            failFirstWithoutConnection(server, Outcome.CONNECT_FAILED);
-        } else if (next == null) {
+    /** Called when an attempt has ended, and its response has left the connection clean. */
+    void onResponded(ServerConnection connection, Attempt attempt, Result result) {
+        addIdle(connection);
+        finish(attempt, result);
+        runWaiting(connection.server);
+    }
+
+    /** Makes a connection available, or closes it if it may no longer be used. */
+    private void addIdle(ServerConnection connection) {
+        if (connection.server.mayUse(connection)) {
             connections.addIdle(connection);
             connection.onIdle(idleCloseUs);
-        } else if (connection.tryRun(next)) {
-            server.waiting.remove(next);
         } else {
-            failFirstWithoutConnection(server, Outcome.CONNECT_FAILED);
+            connection.close();
         }
     }
 
-    /** The longest waiting attempt that may still begin, null for none; ends the attempts before it. */
-    private Attempt nextToBegin(Server server) {
-        Attempt next = server.waiting.peekFirst();
-        while (next != null && !next.listener.mayBegin()) { // mayBegin() may end other waiting attempts.
-            server.waiting.remove(next);
-            finish(next, Result.of(Outcome.NOT_SENT));
-            next = server.waiting.peekFirst();
+    /**
+     * Runs waiting attempts on idle connections, the longest waiting first, and ends those that may no longer begin.
+     * While a listener is called, which may end or start attempts and close connections, each of them is in a state
+     * that all other methods know: the attempt waits, and the connection is idle.
+     */
+    private void runWaiting(Server server) {
+        while (!server.waiting.isEmpty() && !server.idle.isEmpty()) {
+            Attempt next = server.waiting.peekFirst();
+            boolean mayBegin = next.listener.mayBegin();
+            if (!isOpen(next)) {
+                continue; // It was ended in the call.
+            }
+            if (!mayBegin) {
+                finish(next, Result.of(Outcome.NOT_SENT));
+            } else if (runOnIdleConnection(next)) {
+                server.waiting.remove(next);
+            }
         }
-        return next;
+        endAttemptsWithoutConnection(server, Outcome.CONNECT_FAILED);
     }
 
-    /** Fails the longest waiting attempt if more attempts wait than connections are being opened. */
-    private void failFirstWithoutConnection(Server server, Outcome outcome) {
-        if (server.attemptsWithoutConnection() > 0) {
-            finish(server.waiting.pollFirst(), Result.of(outcome));
+    /** Ends the longest waiting attempts while more wait than there are connections for them. */
+    private void endAttemptsWithoutConnection(Server server, Outcome outcome) {
+        while (server.attemptsWithoutConnection() > 0) {
+            finish(server.waiting.peekFirst(), Result.of(outcome));
         }
     }
 
--- a/pooler/src/main/java/frostreel/broker/AttemptRunner.java
+++ b/pooler/src/main/java/frostreel/broker/AttemptRunner.java
@@ -66,7 +66,11 @@
 
         @Override
         public void ended(BackEnd.Result result) {
-            events.run(() -> onEnded(request, attempt, result));
+            events.run(() -> {
+                if (isInFlight(request, attempt)) { // It may have been abandoned by an event before this one.
+                    onEnded(request, attempt, result);
+                }
+            });
         }
 
         @Override
@@ -76,10 +80,17 @@
 
         @Override
         public boolean mayBegin() {
-            return router.mayStillBegin(clock.now(), request.routerId) && requestAllowsAttempt(request);
+            // The router is asked last: looking for a disconnect may run events, which may also end this attempt.
+            return requestAllowsAttempt(request)
+                    && isInFlight(request, attempt)
+                    && router.mayStillBegin(clock.now(), request.routerId);
         }
     }
 
+    private static boolean isInFlight(ActiveRequest request, int attempt) {
+        return request.hasAttemptInFlight() && request.isLatestAttempt(attempt);
+    }
+
     // ---- Start of an attempt. ----
 
     /**
@@ -143,12 +154,17 @@
 
     /**
      * Stops this attempt, if it is in flight and no long response has begun. If it cannot have reached its server, it
-     * ends as not sent, which proves that it was not executed.
+     * ends as not sent, which proves that it was not executed. If it has ended already, it ends with its own result, in
+     * a later event.
      */
     void stop(ActiveRequest request, int attempt, Outcome outcome) {
-        if (request.hasAttemptInFlight() && request.isLatestAttempt(attempt) && !request.streaming) {
-            boolean reached = backEnd.abandon(request.attemptHandle);
-            onEnded(request, attempt, BackEnd.Result.of(reached ? outcome : Outcome.NOT_SENT));
+        if (!isInFlight(request, attempt) || request.streaming) {
+            return;
+        }
+        switch (backEnd.abandon(request.attemptHandle)) {
+            case ALREADY_ENDED -> {}
+            case NOT_SENT -> onEnded(request, attempt, BackEnd.Result.of(Outcome.NOT_SENT));
+            case MAY_HAVE_REACHED_SERVER -> onEnded(request, attempt, BackEnd.Result.of(outcome));
         }
     }
 
--- a/pooler/src/main/java/frostreel/request/BackEnd.java
+++ b/pooler/src/main/java/frostreel/request/BackEnd.java
@@ -22,6 +22,16 @@
         }
     }
 
+    /** What is known of an attempt that was abandoned. */
+    enum Abandoned {
+        /** It had ended before; its listener was called with the result. */
+        ALREADY_ENDED,
+        /** It cannot have reached its server, so it was not executed. */
+        NOT_SENT,
+        /** It may have reached its server. */
+        MAY_HAVE_REACHED_SERVER
+    }
+
     /** Source of a long response, which can be paused while its receiver is slow. */
     interface ResponseSource {
         /** Stops delivery until {@link #resume}; bytes that were read before are still delivered. */
@@ -54,7 +64,8 @@
 
         /**
          * Whether an attempt that waited for a connection may still begin. Called immediately before its first byte is
-         * written. If not, the attempt ends as {@link Router.Outcome#NOT_SENT}.
+         * written. If not, the attempt ends as {@link Router.Outcome#NOT_SENT}. The call may end or start any attempt,
+         * also by way of events that it finds; the caller has to look at its state again.
          */
         default boolean mayBegin() {
             return true;
@@ -72,8 +83,8 @@
     /** Whether any byte of the attempt may have been sent; also true for an attempt that has ended. */
     boolean hasBegun(long attemptHandle);
 
-    /** Abandons an attempt, whose listener is no longer called. Returns whether it may have reached the server. */
-    boolean abandon(long attemptHandle);
+    /** Abandons an attempt, whose listener is not called afterwards. */
+    Abandoned abandon(long attemptHandle);
 
     /** Requests a server's load report. */
     void checkHealth(String memberId, AttemptListener listener);
--- a/pooler/src/test/java/frostreel/broker/BrokerTest.java
+++ b/pooler/src/test/java/frostreel/broker/BrokerTest.java
@@ -2,7 +2,9 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import frostreel.request.BackEnd;
 import frostreel.request.FixedPayload;
+import frostreel.request.Payload;
 import frostreel.request.RequestAttributes;
 import frostreel.request.ResponseHandler;
 import frostreel.routing.Limits;
@@ -98,6 +100,86 @@
         assertThat(failed).containsExactly("after", "before");
     }
 
+    /**
+     * Guards against writes that run twice: an attempt whose end was waiting to be processed was taken for one that was
+     * never sent when the router cancelled it, which proves that a retry does no harm.
+     */
+    @Test
+    void cancellingAnAttemptThatHasEndedKeepsItsOutcome() {
+        List<Router.Outcome> outcomes = new ArrayList<>();
+        EndingBackEnd backEnd = new EndingBackEnd();
+        Broker broker = new Broker(
+                () -> nowUs, deadlines, new Counters(), backEnd, settings(0), 16, (given, actions) -> new IdleRouter() {
+                    @Override
+                    public void onRequest(long atUs, Request request) {
+                        actions.send(request.id(), "a", DEADLINE_US);
+                    }
+
+                    @Override
+                    public void onMembers(long atUs, ListKind kind, List<Member> members) {
+                        if (kind == ListKind.CHANGES) {
+                            actions.cancel(backEnd.requestId, 0); // Runs after this event.
+                            backEnd.end(Outcome.RESET); // Its event is queued behind that.
+                        }
+                    }
+
+                    @Override
+                    public void onOutcome(
+                            long atUs,
+                            String requestId,
+                            int attempt,
+                            String memberId,
+                            Outcome outcome,
+                            boolean closed,
+                            long tookUs,
+                            Role role,
+                            long positionUs,
+                            Report report) {
+                        outcomes.add(outcome);
+                    }
+                });
+        broker.updateMembers(
+                Router.ListKind.FULL, List.of(new Router.Member("a", 0, 0, 2, true, Router.State.UP, 1, 0)));
+        submit(broker, "1");
+
+        broker.updateMembers(Router.ListKind.CHANGES, List.of());
+
+        assertThat(outcomes).containsExactly(Router.Outcome.RESET);
+    }
+
+    /** Holds one attempt, which the test ends. */
+    private static final class EndingBackEnd implements BackEnd {
+        /** The router's id of the only request: its handle, which is that of the first slot. */
+        private final String requestId = "0";
+
+        private AttemptListener listener;
+
+        void end(Router.Outcome outcome) {
+            AttemptListener ending = listener;
+            listener = null;
+            ending.ended(Result.of(outcome));
+        }
+
+        @Override
+        public long start(String memberId, Payload payload, long timeoutUs, AttemptListener newListener) {
+            listener = newListener;
+            return 1;
+        }
+
+        @Override
+        public boolean hasBegun(long attemptHandle) {
+            return true;
+        }
+
+        @Override
+        public Abandoned abandon(long attemptHandle) {
+            return listener == null ? Abandoned.ALREADY_ENDED : Abandoned.MAY_HAVE_REACHED_SERVER;
+        }
+
+        @Override
+        public void checkHealth(String memberId, AttemptListener checkListener) {}
+    }
+
     private final class FailureRecorder implements ResponseHandler {
         private final String id;
 
@@ -131,7 +213,7 @@
         }
     }
 
-    private static final class IdleRouter implements Router {
+    private static class IdleRouter implements Router {
         @Override
         public void onSettings(Settings settings) {}
 
