Give each client a share of a turn, so that floods of small messages delay no other

Cause: up to four reads of 64 KiB of one connection were processed in one turn, to the last message: 43,000 empty statements, each with a write of its own. Deadlines and all other sockets waited for that, once for each flooding connection.

Change: TurnShare ends a connection's turn after 16 messages or 250 us; the rest is put off (EventLoop.defer), and four connections a millisecond go on, in order, between which deadlines and sockets have their turn. One turn reads at most 64 KiB of a client, 8 KiB while memory is short, and nothing while its messages are put off. Answers of a turn are written together. A third encryption request is an error. The time for a client's message starts anew with each message, as a client whose next message is always incomplete was closed after 2.3 s. New counter: input_deferred.

PeerMemoryTest.pipelinedWritesAreAnsweredWhileTheBuffersAreFull has twice the clients: with smaller reads, 30 of them no longer filled the buffers (6.03 MB of 6.08), and it never began.

--- a/pooler/src/main/java/frostreel/frontend/ClientConnection.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientConnection.java
@@ -91,6 +91,7 @@
 
     @Override
     public void received(ByteBuffer in) {
+        input.countRead(in.remaining());
         if (phase != Phase.LINGERING) {
             input.add(in);
         } else if (lingering.exceedsDropLimit(in.remaining())) {
@@ -128,16 +129,25 @@
         return isOpen() && !mustWait();
     }
 
-    /** Called when messages were processed: reads on or not, and starts the next timeout unless a request is active. */
-    void onMessagesTaken() {
+    /**
+     * Called when messages were processed: reads on or not, and starts the next timeout unless a request is active.
+     *
+     * @param anyTaken whether there was a message, so that the time for the next one starts anew
+     */
+    void onMessagesTaken(boolean anyTaken) {
         if (!isOpen()) {
             return;
         }
-        if (input.mustHoldBack()) {
+        if (input.isDeferred()) {
+            stream.suspendReads();
+        } else if (input.mustHoldBack()) {
             holdBackInput();
         } else {
             readOn();
         }
+        if (anyTaken && input.hasSentQuery()) {
+            timeouts.cancel();
+        }
         if (!request.isActive()) {
             awaitNext();
         }
@@ -179,6 +189,8 @@
     private void awaitNext() {
         if (!stream.flushed()) {
             awaitReader();
+        } else if (input.isDeferred() && input.hasSentQuery()) {
+            clients.markBusy(this); // The next message is there; it is this process that lets it wait.
         } else if (!isIdle() || (!input.hasSentQuery() && !frontEnd.drainer().closesUnused())) {
             awaitMessage();
         } else {
--- a/pooler/src/main/java/frostreel/frontend/ClientInput.java
+++ b/pooler/src/main/java/frostreel/frontend/ClientInput.java
@@ -11,23 +11,41 @@
  * thread.
  */
 final class ClientInput {
+    /** What is read of one connection in a turn; a long message takes several. */
+    private static final int MAX_READ_BYTES = 1 << 16;
+    /** What is read in a turn while the buffers of all connections are full. */
+    private static final int MAX_READ_BYTES_WITHOUT_MEMORY = 1 << 13;
+
     private final EventLoop loop;
     private final ClientConnection connection;
     private final ClientBacklog backlog;
     private final StartupHandler startup;
     private final QueryHandler queries;
+    private final SocketStream stream;
+    private final TurnShare share;
     private boolean takingMessages;
+    /** Whether the next messages were put off to a later turn. */
+    private boolean deferred;
+    /** How much was read in the current turn of reads. */
+    private int readBytes;
     /** Whether {@link #onReadCompleted} is running, so the socket was just read and need not be read again. */
     private boolean readJustNow;
 
     ClientInput(FrontEnd frontEnd, SocketStream stream, ClientConnection connection) {
         loop = frontEnd.loop();
+        this.stream = stream;
         this.connection = connection;
+        share = new TurnShare(loop.clock());
         backlog = new ClientBacklog(loop);
         startup = new StartupHandler(frontEnd, stream, connection);
         queries = new QueryHandler(frontEnd, stream, connection);
     }
 
+    /** Counts what was read towards the limit of this turn, whether it is kept or not. */
+    void countRead(int bytes) {
+        readBytes += bytes;
+    }
+
     /** Adds what was read; its messages are processed in {@link #onReadCompleted}. */
     void add(ByteBuffer in) {
         backlog.add(in);
@@ -36,6 +54,7 @@
     /** Processes messages after a read of the socket that did not find the client disconnected. */
     void onReadCompleted() {
         backlog.onReadCompleted();
+        readBytes = 0;
         boolean readBefore = readJustNow;
         readJustNow = true;
         takeMessages();
@@ -47,7 +66,9 @@
 
     /** The most bytes that may be read now; 0 or less if input has to stay in the socket. */
     int maxReadBytes() {
-        return connection.mustWait() ? backlog.readAheadBytes() : Integer.MAX_VALUE;
+        int perTurn = loop.buffers().holdsBackInput() ? MAX_READ_BYTES_WITHOUT_MEMORY : MAX_READ_BYTES;
+        int leftInTurn = perTurn - readBytes;
+        return connection.mustWait() ? Math.min(leftInTurn, backlog.readAheadBytes()) : leftInTurn;
     }
 
     /** Whether input behind an active request, or behind an unread response, has to stay in the socket. */
@@ -56,29 +77,57 @@
                 && (backlog.readAheadBytes() == 0 || loop.buffers().holdsBackInput());
     }
 
-    /** Processes the messages that have arrived, up to the first request that does not end at once. */
+    /** Whether the next messages were put off to a later turn; until then, further input stays in the socket. */
+    boolean isDeferred() {
+        return deferred;
+    }
+
+    /**
+     * Processes the messages that have arrived, up to the first request that does not end at once, or until the share
+     * of this turn is used. The rest is processed in later turns.
+     */
     void takeMessages() {
-        if (takingMessages) {
+        if (takingMessages || deferred) {
             return;
         }
         takingMessages = true;
+        share.begin();
+        stream.beginBatch();
         try {
-            boolean taken = true;
-            while (taken && connection.mayTakeMessage()) {
-                taken = takeMessage();
-            }
+            takeShare();
         } catch (PgException e) {
             loop.counters().malformedMessages++;
             connection.closeWithError(SqlState.PROTOCOL_VIOLATION, e.getMessage());
         } finally {
             takingMessages = false;
+            stream.endBatch();
             if (connection.isOpen()) {
                 backlog.trim();
             } else {
                 backlog.release();
             }
         }
-        connection.onMessagesTaken();
+        connection.onMessagesTaken(share.isUsed());
+    }
+
+    private void takeShare() throws PgException {
+        boolean taken = true;
+        while (taken && connection.mayTakeMessage()) {
+            if (share.isExhausted() && !backlog.isEmpty()) {
+                defer();
+                return;
+            }
+            taken = takeMessage();
+        }
+    }
+
+    private void defer() {
+        deferred = true;
+        loop.counters().inputsDeferred++;
+        loop.defer(() -> {
+            deferred = false;
+            takeMessages();
+        });
     }
 
     /** Processes the next message; returns false if none is complete. */
@@ -87,6 +136,7 @@
         if (!backlog.next(starting)) {
             return false;
         }
+        share.onMessage();
         if (starting) {
             startup.onMessage(backlog.message());
         } else {
--- a/pooler/src/main/java/frostreel/frontend/DisconnectProbe.java
+++ b/pooler/src/main/java/frostreel/frontend/DisconnectProbe.java
@@ -8,9 +8,9 @@
 
 /**
  * Detects that a client has closed its connection while part of its input is unread, behind which the end of its output
- * cannot be seen. A message that clients ignore is written in two parts: the system of a client that has closed answers
- * the first with a reset, after which the second fails. Over a network the reset arrives later, so the probe is repeated
- * while input is held back. Used on the I/O thread.
+ * cannot be seen. A message that clients ignore is written in two parts: the system of a client that has closed
+ * answers the first with a reset, after which the second fails. Over a network the reset arrives later, so the probe is
+ * repeated while input is held back. Used on the I/O thread.
  */
 final class DisconnectProbe {
     /** A close has to be found by the second probe after it, within 100 ms. */
@@ -32,6 +32,7 @@
 
     /** Probes at once; only between messages. If the client has closed, the stream reports its end afterwards. */
     void run() {
+        stream.endBatch(); // The parts have to reach the socket one after the other.
         if (stream.flushed()) { // Otherwise the client has a response to read, and its output is tested by that.
             stream.write(FIRST_PART);
             stream.write(SECOND_PART);
--- a/pooler/src/main/java/frostreel/frontend/LingeringClose.java
+++ b/pooler/src/main/java/frostreel/frontend/LingeringClose.java
@@ -3,7 +3,8 @@
 import frostreel.time.Deadlines;
 
 /**
- * Limits how much input of a client is read and dropped during an orderly close, and how long the orderly close lasts. Used on the I/O thread.
+ * Limits how much input of a client is read and dropped during an orderly close,
+ * and how long the orderly close lasts. Used on the I/O thread.
  */
 final class LingeringClose {
     /** Limits the input that is read and dropped, as reading it delays other clients. */
--- a/pooler/src/main/java/frostreel/frontend/StartupHandler.java
+++ b/pooler/src/main/java/frostreel/frontend/StartupHandler.java
@@ -11,9 +11,13 @@
  * the startup message. Used on the I/O thread.
  */
 final class StartupHandler {
+    /** A client may ask for each of the two kinds of encryption once. */
+    private static final int MAX_ENCRYPTION_REQUESTS = 2;
+
     private final FrontEnd frontEnd;
     private final SocketStream stream;
     private final ClientConnection connection;
+    private int encryptionRequests;
 
     StartupHandler(FrontEnd frontEnd, SocketStream stream, ClientConnection connection) {
         this.frontEnd = frontEnd;
@@ -21,11 +25,20 @@
         this.connection = connection;
     }
 
+    private void declineEncryption() {
+        if (++encryptionRequests <= MAX_ENCRYPTION_REQUESTS) {
+            stream.write(new byte[] {StartupCode.ENCRYPTION_NOT_SUPPORTED});
+        } else {
+            frontEnd.loop().counters().malformedMessages++;
+            connection.closeWithError(SqlState.PROTOCOL_VIOLATION, "encryption was declined already");
+        }
+    }
+
     /** Handles one message of the startup phase, which begins with a code instead of a type byte. */
     void onMessage(MessageReader message) throws PgException {
         int code = message.bodyInt(0);
         if (StartupCode.requestsEncryption(code)) {
-            stream.write(new byte[] {StartupCode.ENCRYPTION_NOT_SUPPORTED});
+            declineEncryption();
         } else if (code == StartupCode.CANCEL_REQUEST) {
             cancel(CancelKey.in(message));
             connection.close();
--- a/pooler/src/main/java/frostreel/net/EventLoop.java
+++ b/pooler/src/main/java/frostreel/net/EventLoop.java
@@ -33,6 +33,7 @@
     private final EventLoopWatchdog watchdog;
     private final LoopHeartbeat heartbeat;
     private final WatchEventPoll watchEventPoll;
+    private final DeferredTasks deferredTasks;
     private final EventLog events;
     private final Counters counters = new Counters();
     private final BufferMemory buffers = BufferMemory.ofThisProcess();
@@ -52,6 +53,7 @@
         this.clock = clock;
         deadlines = new Deadlines(clock, this::wakeAfter);
         heartbeat = new LoopHeartbeat(clock, deadlines);
+        deferredTasks = new DeferredTasks(deadlines);
         watchEventPoll = new WatchEventPoll(clock);
         worker = Xnio.getInstance()
                 .createWorker(OptionMap.builder()
@@ -127,6 +129,14 @@
         return heartbeat.earliestArrivalUs();
     }
 
+    /**
+     * Runs a task in a later turn, after deadlines and the sockets of other connections had theirs; for a connection
+     * that has had its share of this turn.
+     */
+    public void defer(Runnable task) {
+        deferredTasks.add(task);
+    }
+
     /** Terminates the I/O thread, and waits for its end for at most one second. Called on any other thread. */
     public void shutDown() throws InterruptedException {
         watchdog.end();
--- a/pooler/src/main/java/frostreel/net/SocketStream.java
+++ b/pooler/src/main/java/frostreel/net/SocketStream.java
@@ -1,6 +1,7 @@
 package frostreel.net;
 
 import frostreel.util.BufferMemory;
+import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.util.ArrayDeque;
@@ -45,6 +46,9 @@
     /** Reads of one connection in one turn; limited so that a busy connection does not delay the others. */
     private static final int MAX_READS_PER_TURN = 4;
 
+    /** A batch that would become longer is written before its end. */
+    private static final int MAX_BATCH_BYTES = 1 << 14;
+
     private static final int END_OF_STREAM = -1;
     private static final Logger LOG = Logger.getLogger(SocketStream.class.getName());
     private final EventLoop loop;
@@ -56,6 +60,9 @@
     /** The memory of {@link #output}, which includes what has been written of its first buffer. */
     private final BufferMemory.Account outputMemory;
 
+    /** What is to be written together, null outside a batch. */
+    private ByteArrayOutputStream batch;
+
     private int outputBytes;
     private int pendingBytes;
     /** Number of reads that have returned bytes. */
@@ -191,8 +198,42 @@
 
     // ---- Output. ----
 
-    /** Writes what the socket accepts now; the rest is buffered and written when the socket is writable. */
+    /**
+     * Writes what the socket accepts now; the rest is buffered and written when the socket is writable. Within a batch,
+     * writes at its end.
+     */
     public void write(byte[] bytes) {
+        if (batch == null) {
+            writeNow(bytes);
+            return;
+        }
+        if (batch.size() + bytes.length > MAX_BATCH_BYTES) {
+            writeBatch();
+        }
+        batch.writeBytes(bytes);
+    }
+
+    /** Begins a batch: what is written until its end is handed to the socket together. */
+    public void beginBatch() {
+        batch = new ByteArrayOutputStream();
+    }
+
+    /** Ends the batch, if there is one, and writes it. */
+    public void endBatch() {
+        if (batch != null) {
+            writeBatch();
+            batch = null;
+        }
+    }
+
+    private void writeBatch() {
+        if (batch.size() > 0) {
+            writeNow(batch.toByteArray());
+            batch.reset();
+        }
+    }
+
+    private void writeNow(byte[] bytes) {
         if (closed) {
             return;
         }
@@ -210,13 +251,14 @@
         return pendingBytes;
     }
 
-    /** Whether the socket has accepted all output; after the close, whether it had before. */
+    /** Whether the socket has accepted all output but that of the batch; after the close, whether it had before. */
     public boolean flushed() {
         return output.isEmpty() && !hasUnsentOutput;
     }
 
     /** Shuts down the output once the socket has accepted all of it; the peer may still send. */
     public void end() {
+        endBatch();
         endsOutputWhenFlushed = true;
         shutDownIfFlushed();
     }
@@ -286,6 +328,7 @@
 
     /** Closes the connection; the handler is not called afterwards. */
     public void close() {
+        endBatch();
         if (!closed) {
             closed = true;
             hasUnsentOutput = !output.isEmpty();
--- a/pooler/src/main/java/frostreel/pg/Messages.java
+++ b/pooler/src/main/java/frostreel/pg/Messages.java
@@ -67,8 +67,8 @@
     }
 
     /**
-     * A ParameterStatus that repeats a value of the startup response. Clients accept it at any time between messages, and it
-     * changes nothing for them.
+     * A ParameterStatus that repeats a value of the startup response. Clients accept it at any time between messages,
+     * and it changes nothing for them.
      */
     public static byte[] unchangedParameter() {
         return parameterStatus(PARAMETERS[0][0], PARAMETERS[0][1]);
--- a/pooler/src/main/java/frostreel/stats/Counters.java
+++ b/pooler/src/main/java/frostreel/stats/Counters.java
@@ -40,6 +40,8 @@
     public long requestsRejectedForMemory;
     /** Times that the input behind a request in progress was left in the socket because the buffers were full. */
     public long inputsHeldBack;
+    /** Times that the messages of a client were put off to a later turn, as it had used its share of one. */
+    public long inputsDeferred;
     /** Times that a long response was left in the socket of its server because the buffers were full. */
     public long responsesHeldBack;
 
@@ -123,6 +125,7 @@
                 + " callers_silent=" + adminClientsTimedOut
                 + " memory_refused=" + requestsRejectedForMemory
                 + " input_held_back=" + inputsHeldBack
+                + " input_deferred=" + inputsDeferred
                 + " answers_held_back=" + responsesHeldBack
                 + " outcomes=" + outcomes;
     }
--- a/pooler/src/test/java/frostreel/PeerMemoryTest.java
+++ b/pooler/src/test/java/frostreel/PeerMemoryTest.java
@@ -49,8 +49,8 @@
     /** Half of the smallest heap, up to which responses are read. */
     private static final long RESPONSE_BYTES = (24L << 20) / 2;
 
-    private static final int PIPELINING_CLIENTS = 30;
-    /** Long writes behind a read; less than 1 MiB, beyond which a client's pipelined input is dropped. */
+    private static final int PIPELINING_CLIENTS = 60;
+    /** Long writes behind a read; less than 1 MiB, beyond which none is read ahead. */
     private static final int PIPELINED_WRITES = 6;
 
     private static final int LONG_LIST_BYTES = 1 << 20;
