--- a/lab/src/test/java/frostreel/lab/standin/StandInsTest.java
+++ b/lab/src/test/java/frostreel/lab/standin/StandInsTest.java
@@ -10,6 +10,7 @@
 import frostreel.pg.Messages;
 import frostreel.pg.ServerResponse;
 import frostreel.pg.Statement;
+import frostreel.request.BackEnd;
 import frostreel.routing.Router.Outcome;
 import frostreel.routing.Router.Role;
 import java.io.DataInputStream;
@@ -148,15 +149,15 @@
     void answersAreReadableByTheProgramsOwnParser() throws Exception {
         try (Socket primary = welcomed(first);
                 Socket replica = welcomed(second)) {
-            ServerResponse written = ask(primary, WRITE);
-            assertThat(written.result().outcome()).isEqualTo(Outcome.OK);
-            assertThat(written.result().role()).isEqualTo(Role.PRIMARY);
-            assertThat(new String(written.result().response(), StandardCharsets.US_ASCII))
+            BackEnd.Result written = ask(primary, WRITE).result();
+            assertThat(written.outcome()).isEqualTo(Outcome.OK);
+            assertThat(written.role()).isEqualTo(Role.PRIMARY);
+            assertThat(new String(written.response(), StandardCharsets.US_ASCII))
                     .contains("w");
             assertThat(ask(replica, WRITE).errorCode()).isEqualTo("25006");
-            ServerResponse served = ask(replica, read(""));
-            assertThat(served.result().role()).isEqualTo(Role.REPLICA);
-            assertThat(served.result().positionUs()).isPositive();
+            BackEnd.Result served = ask(replica, read("")).result();
+            assertThat(served.role()).isEqualTo(Role.REPLICA);
+            assertThat(served.positionUs()).isPositive();
             assertThat(ask(replica, read(",after=" + (System.currentTimeMillis() + 60_000)))
                             .errorCode())
                     .isEqualTo("72000");
