Let the poll find the new times in the test of a shutdown's closings

The test advanced the clock over the poll and the new times at once, so it counted 1 to 3 depending on whether the loop's own timer ran before the check. It advances over the poll first now, and then checks both closings, at the exact time.

--- a/pooler/src/test/java/frostreel/ShutdownSequenceTest.java
+++ b/pooler/src/test/java/frostreel/ShutdownSequenceTest.java
@@ -182,11 +182,13 @@
         manual.run(() -> lifecycle.setLongestDeadlineUs(LONGEST_DEADLINE_US / 3));
         assertThat(lifecycle.lastResponseUs()).isLessThan(earlierUs);
 
-        manual.advanceTo(lifecycle.lastResponseUs() + STEP_US);
+        manual.advance(STEP_US); // The poll finds the new times.
+        assertThat(workload.lifecycleApplied).as("at SIGTERM").isEqualTo(1);
+        manual.advanceTo(lifecycle.lastResponseUs());
 
         assertThat(workload.lifecycleApplied)
-                .as("at SIGTERM and at the new time")
-                .isEqualTo(2);
+                .as("also when idle connections close, and when all do")
+                .isEqualTo(3);
     }
 
     /** Whether the shutdown has ended; gives the waiting thread the time that it needs to return if it has. */
