Wait for the attempt's end in the test of clients that leave, and send nothing after it

Trace: the pooler had given up the attempt and closed its connection, as it should, before the scripted server sent a late answer on it. The test waits for that close now and checks it, in place of the answer.

--- a/pooler/src/test/java/frostreel/ReadAheadTest.java
+++ b/pooler/src/test/java/frostreel/ReadAheadTest.java
@@ -91,13 +91,15 @@
         start();
         WireConnection client = harness.client();
         client.send(longWrites("gone", count));
-        WireConnection server = servers.take();
+        servers.take();
 
         client.close();
         harness.awaitCounter("clients_gone=1");
+        assertThat(primary.closedConnections.take())
+                .as("the attempt is given up")
+                .isEqualTo("closed");
 
         answerWithTheIdOfTheRequest(primary);
-        server.send(row("late", "primary"), TestMessages.READY);
         try (WireConnection other = harness.client()) {
             assertThat(value(other.execute(TestMessages.writeSql("next", DEADLINE_MS))))
                     .isEqualTo("next");
