Let the usual client of FairShareTest send a query before the flood

Trace: the other client had connected before the flood and sent nothing for the 2.3 s that a first query may take; the log has its close, "nothing whole came in time". It sends an empty query first.

--- a/pooler/src/test/java/frostreel/FairShareTest.java
+++ b/pooler/src/test/java/frostreel/FairShareTest.java
@@ -61,6 +61,7 @@
     void aConnectionHasALimitedShareOfATurn(String name, byte[] message, String answer) throws Exception {
         try (WireConnection flooding = harness.client();
                 WireConnection other = harness.client()) {
+            assertThat(other.execute("")).containsExactly("I"); // A client that sends no query at first is closed.
             byte[] all = repeat(message);
             PoolerHarness.spawn(() -> flooding.send(all));
             for (int i = 0; i < MESSAGES; i++) {
