Extract the ownership of a region of shared memory from the commit table

The class has that logic once. No change of behaviour; SharedCommitTableTest and StoredFileCompatibilityTest, which compares the written bytes, pass.

--- a/decisions/src/main/java/frostreel/operation/SharedCommitTable.java
+++ b/decisions/src/main/java/frostreel/operation/SharedCommitTable.java
@@ -36,22 +36,11 @@
     /** Servers report commit positions in milliseconds, rounded down. */
     private static final long COMMIT_ROUNDING_US = 1_000;
 
-    /** Number of regions. One more process takes over the region with the oldest heartbeat. */
-    static final int REGIONS = 4;
-
     private static final int SLOT_BITS = 9;
     private static final int SLOTS = 1 << SLOT_BITS;
     /** Multiplier that spreads session numbers evenly over slots: 2^64 divided by the golden ratio. */
     private static final long FIBONACCI_HASH = 0x9E3779B97F4A7C15L;
 
-    // Offsets in the header of a region.
-    /** Incarnation of the process that owns the region. */
-    private static final int OWNER = 0;
-    /** Time of the last heartbeat of the owner. */
-    private static final int HEARTBEAT_US = 1;
-
-    private static final int HEADER_LONGS = 2;
-
     // Offsets in a slot. Each value is a time or NO_TIME.
     private static final int LATEST_COMMIT_US = 0;
     private static final int UNCERTAIN_UNTIL_US = 1;
@@ -60,19 +49,15 @@
 
     private static final int SLOT_LONGS = 4;
 
-    private static final int REGION_LONGS = HEADER_LONGS + SLOTS * SLOT_LONGS;
+    private static final int REGION_LONGS = OwnedRegion.HEADER_LONGS + SLOTS * SLOT_LONGS;
     /** Size of the shared memory. */
-    public static final int LONGS = REGIONS * REGION_LONGS;
+    public static final int LONGS = OwnedRegion.REGIONS * REGION_LONGS;
 
-    /** Owner of a region that has never been used. */
-    private static final long NO_OWNER = 0;
     /** Slot value that was never set or is not in use; less than any time. */
     private static final long NO_TIME = 0;
 
     private final SharedMemoryLongs memory;
-    private final long incarnation;
-    /** Index at which the region of this process begins. */
-    private int ownRegion;
+    private final OwnedRegion ownRegion;
     /** Number of writes of this process in flight, by slot. */
     private final int[] inFlight = new int[SLOTS];
 
@@ -96,38 +81,23 @@
      */
     public SharedCommitTable(SharedMemoryLongs memory, long incarnation, long nowUs) {
         this.memory = memory;
-        this.incarnation = incarnation;
+        ownRegion = new OwnedRegion(memory, REGION_LONGS, incarnation);
         claimRegion(nowUs);
     }
 
     private void claimRegion(long nowUs) {
-        long previousOwner;
-        do {
-            ownRegion = regionWithOldestHeartbeat();
-            previousOwner = memory.get(ownRegion + OWNER);
-            memory.set(ownRegion + HEARTBEAT_US, nowUs);
-        } while (!memory.compareAndSet(ownRegion + OWNER, previousOwner, incarnation));
+        ownRegion.claim(nowUs);
         for (int slot = 0; slot < SLOTS; slot++) {
             inheritSlot(slot);
         }
     }
 
-    private int regionWithOldestHeartbeat() {
-        int oldest = 0;
-        for (int region = 0; region < LONGS; region += REGION_LONGS) {
-            if (memory.get(region + HEARTBEAT_US) < memory.get(oldest + HEARTBEAT_US)) {
-                oldest = region;
-            }
-        }
-        return oldest;
-    }
-
     /**
      * Inherits the values of the former owner, with its writes in flight as uncertain ones, and adds the writes in
      * flight of this process.
      */
     private void inheritSlot(int slot) {
-        int base = slotIndex(ownRegion, slot);
+        int base = slotIndex(ownRegion.start(), slot);
         boolean hadWriteInFlight = memory.get(base + IN_FLIGHT_SINCE_US) > NO_TIME;
         raiseTo(base + UNCERTAIN_UNTIL_US, hadWriteInFlight ? memory.get(base + IN_FLIGHT_UNTIL_US) : NO_TIME);
         inheritedCommitUs[slot] = Math.max(inheritedCommitUs[slot], memory.get(base + LATEST_COMMIT_US));
@@ -139,7 +109,7 @@
 
     /** Claims another region if this one was taken over, which may happen while this process is suspended. */
     private void ensureRegion(long nowUs) {
-        if (memory.get(ownRegion + OWNER) != incarnation) {
+        if (!ownRegion.isOwned()) {
             claimRegion(nowUs);
         }
     }
@@ -149,7 +119,7 @@
     }
 
     private static int slotIndex(int region, int slot) {
-        return region + HEADER_LONGS + slot * SLOT_LONGS;
+        return region + OwnedRegion.HEADER_LONGS + slot * SLOT_LONGS;
     }
 
     /** Sets a value to the minimum if it is less. */
@@ -164,7 +134,7 @@
     public void onSent(long nowUs, long session, long deadlineUs) {
         ensureRegion(nowUs);
         int slot = slotOf(session);
-        int base = slotIndex(ownRegion, slot);
+        int base = slotIndex(ownRegion.start(), slot);
         inFlightUntilUs[slot] = Math.max(inFlightUntilUs[slot], deadlineUs);
         raiseTo(base + IN_FLIGHT_UNTIL_US, inFlightUntilUs[slot]);
         if (inFlight[slot]++ == 0) {
@@ -181,7 +151,7 @@
     public void onEnded(long nowUs, long session, long deadlineUs, Router.Outcome outcome, long positionUs) {
         ensureRegion(nowUs);
         int slot = slotOf(session);
-        int base = slotIndex(ownRegion, slot);
+        int base = slotIndex(ownRegion.start(), slot);
         if (outcome == Router.Outcome.OK) {
             raiseTo(base + LATEST_COMMIT_US, positionUs > UNKNOWN_POSITION_US ? positionUs : nowUs);
         } else if (!outcome.provesNotRun) {
@@ -199,7 +169,7 @@
     @Override
     public void onHeartbeat(long nowUs) {
         ensureRegion(nowUs);
-        memory.set(ownRegion + HEARTBEAT_US, nowUs);
+        ownRegion.beat(nowUs);
     }
 
     @Override
@@ -207,8 +177,7 @@
         int slot = slotOf(session);
         long positionUs = requiredUs(nowUs, inheritedCommitUs[slot], inheritedUncertainUntilUs[slot], NO_TIME, NO_TIME);
         for (int region = 0; region < LONGS; region += REGION_LONGS) {
-            long owner = memory.get(region + OWNER);
-            if (owner != NO_OWNER && owner != incarnation) {
+            if (ownRegion.isOfOther(region)) {
                 positionUs = Math.max(positionUs, requiredBySlotUs(nowUs, slotIndex(region, slot)));
             }
         }
--- a/decisions/src/test/java/frostreel/operation/SharedCommitTableTest.java
+++ b/decisions/src/test/java/frostreel/operation/SharedCommitTableTest.java
@@ -137,7 +137,7 @@
     void reusedRegionKeepsItsContent() {
         write(before, 10, Outcome.OK, NOW_US - 4_000);
         before.onSent(NOW_US, SESSION, DEADLINE_US);
-        SharedCommitTable[] later = new SharedCommitTable[SharedCommitTable.REGIONS];
+        SharedCommitTable[] later = new SharedCommitTable[OwnedRegion.REGIONS];
         for (int i = 0; i < later.length; i++) {
             later[i] = startProcess(NOW_US + 1 + i);
         }
@@ -150,7 +150,7 @@
     @Test
     void suspendedProcessThatLostItsRegionClaimsAnother() {
         before.onSent(NOW_US, SESSION, DEADLINE_US);
-        SharedCommitTable[] later = new SharedCommitTable[SharedCommitTable.REGIONS];
+        SharedCommitTable[] later = new SharedCommitTable[OwnedRegion.REGIONS];
         for (int i = 0; i < later.length; i++) {
             later[i] = startProcess(NOW_US + 1 + i);
         }
