Let the mapped file of the commit table hold tables of other formats too

CommitTableFile is SharedTableFile now, with the name, layout and length of its table as a parameter, and says how it found the file: there, created or replaced. The content of the file of commits is as before; StoredFileCompatibilityTest, which compares the written bytes, passes.

--- a/pooler/src/main/java/frostreel/control/PeerProcessCommits.java
+++ b/pooler/src/main/java/frostreel/control/PeerProcessCommits.java
@@ -31,15 +31,21 @@
     }
 
     /** A separate class, so that a process without peers does not load the classes that it uses. */
-    private static final class SharedFile {
+    static final class SharedFile {
+        /** "frostre" in ASCII, then the version of the layout. */
+        static final SharedTableFile.Format FORMAT =
+                new SharedTableFile.Format("commits", 0x66726f7374726501L, SharedCommitTable.LONGS);
+
         static PeerProcessCommits open(Config config, long nowUs) {
             try {
                 Path folder = config.commandFolder().orElseThrow(() -> new IOException("no folder for shared files"));
-                CommitTableFile file = CommitTableFile.open(folder);
+                SharedTableFile file = SharedTableFile.open(folder, FORMAT);
                 SharedCommitTable table = new SharedCommitTable(file, newIncarnation(), nowUs);
-                file.replacementReason().ifPresent(SharedFile::warn);
-                boolean peersKnown = file.replacementReason().isEmpty();
-                return new PeerProcessCommits(table, peersKnown ? table : SharedCommitTable.UNKNOWN_PEER_COMMITS);
+                if (file.origin() == SharedTableFile.Origin.REPLACED) {
+                    warn(folder.resolve(FORMAT.fileName()) + " was corrupt or of another version; replaced");
+                    return new PeerProcessCommits(table, SharedCommitTable.UNKNOWN_PEER_COMMITS);
+                }
+                return new PeerProcessCommits(table, table);
             } catch (IOException | UnsupportedOperationException e) { // The latter without hard links.
                 warn(e.toString());
                 return new PeerProcessCommits(WriteObserver.NONE, SharedCommitTable.UNKNOWN_PEER_COMMITS);
--- a/pooler/src/main/java/frostreel/control/SharedTableFile.java
+++ b/pooler/src/main/java/frostreel/control/SharedTableFile.java
@@ -1,6 +1,5 @@
 package frostreel.control;
 
-import frostreel.operation.SharedCommitTable;
 import frostreel.operation.SharedMemoryLongs;
 import java.io.IOException;
 import java.lang.invoke.MethodHandles;
@@ -13,58 +12,78 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
-import java.util.Optional;
 
 /**
- * The memory-mapped file that holds a {@link SharedCommitTable} and is shared by all processes of one pooler. A
- * header that identifies the layout is followed by the table. The content is not needed after a reboot, so it is
- * never synced to disk.
+ * A memory-mapped file that holds a table and is shared by all processes of one pooler. A header that identifies the
+ * layout is followed by the table. The content is not needed after a reboot, so it is never synced to disk.
  */
-final class CommitTableFile implements SharedMemoryLongs {
-    static final String NAME = "commits";
-    private static final String TEMPORARY_SUFFIX = ".new";
-    /** The header: "frostre" in ASCII, then the version of the layout, to be changed with the layout. */
-    private static final long LAYOUT = 0x66726f7374726501L;
+final class SharedTableFile implements SharedMemoryLongs {
+    /**
+     * A kind of table.
+     *
+     * @param fileName name of its file in the folder that the processes share
+     * @param layout identifies the table and its version; to be changed with the layout
+     * @param longs length of the table
+     */
+    record Format(String fileName, long layout, int longs) {
+        private int bytes() {
+            return (HEADER_LONGS + longs) * Long.BYTES;
+        }
+    }
 
+    /** How the file was found. */
+    enum Origin {
+        /** It was there. */
+        FOUND,
+        /** It was missing and has been created. */
+        CREATED,
+        /** It was corrupt or of another version, and has been replaced by an empty one. */
+        REPLACED
+    }
+
+    private static final String TEMPORARY_SUFFIX = ".new";
+    /** The header is the layout's identification. */
     private static final int HEADER_LONGS = 1;
-    private static final int BYTES = (HEADER_LONGS + SharedCommitTable.LONGS) * Long.BYTES;
+
     private static final VarHandle LONGS = MethodHandles.byteBufferViewVarHandle(long[].class, ByteOrder.nativeOrder());
     private final ByteBuffer mapped;
-    private final String replacementReason;
+    private final Origin origin;
 
-    private CommitTableFile(ByteBuffer mapped, String replacementReason) {
+    private SharedTableFile(ByteBuffer mapped, Origin origin) {
         this.mapped = mapped;
-        this.replacementReason = replacementReason;
+        this.origin = origin;
     }
 
     /**
      * Maps the file in the folder, and creates it if missing. A file that is corrupt or of another layout is
      * replaced. A process that still maps the old file and the processes that map the new one do not see each
-     * other's commits.
+     * other's entries.
      */
-    static CommitTableFile open(Path folder) throws IOException {
+    static SharedTableFile open(Path folder, Format format) throws IOException {
         Files.createDirectories(folder);
-        Path file = folder.resolve(NAME);
+        Path file = folder.resolve(format.fileName());
+        Origin origin = Origin.FOUND;
         while (Files.notExists(file)) {
-            createUnlessPresent(folder, file);
+            origin = createUnlessPresent(folder, format) ? Origin.CREATED : Origin.FOUND;
         }
-        boolean usable = isUsable(file);
-        if (!usable) {
-            Files.move(writeEmpty(folder), file, StandardCopyOption.ATOMIC_MOVE);
+        if (!isUsable(file, format)) {
+            Files.move(writeEmpty(folder, format), file, StandardCopyOption.ATOMIC_MOVE);
+            origin = Origin.REPLACED;
         }
-        return new CommitTableFile(map(file), usable ? null : file + " was corrupt or of another version; replaced");
+        return new SharedTableFile(map(file, format), origin);
     }
 
     /**
      * Creates the file under a temporary name and links it once it is complete, so that no process maps an
-     * incomplete one.
+     * incomplete one. Returns false if another process has created the file concurrently; that one is used.
      */
-    private static void createUnlessPresent(Path folder, Path file) throws IOException {
-        Path complete = writeEmpty(folder);
+    private static boolean createUnlessPresent(Path folder, Format format) throws IOException {
+        Path complete = writeEmpty(folder, format);
         try {
-            Files.createLink(file, complete);
+            Files.createLink(folder.resolve(format.fileName()), complete);
+            return true;
         } catch (FileAlreadyExistsException e) {
-            // Another process has created the file concurrently; that one is used.
+            return false;
         } finally {
             Files.delete(complete);
         }
@@ -74,11 +93,12 @@
      * Writes an empty table to a temporary file. All blocks are written, as a full disk would otherwise be detected
      * only when the mapping is written to.
      */
-    private static Path writeEmpty(Path folder) throws IOException {
-        Path file = Files.createTempFile(folder, NAME, TEMPORARY_SUFFIX);
+    private static Path writeEmpty(Path folder, Format format) throws IOException {
+        Path file = Files.createTempFile(folder, format.fileName(), TEMPORARY_SUFFIX);
         try (FileChannel out = FileChannel.open(file, StandardOpenOption.WRITE)) {
-            ByteBuffer content =
-                    ByteBuffer.allocate(BYTES).order(ByteOrder.nativeOrder()).putLong(0, LAYOUT);
+            ByteBuffer content = ByteBuffer.allocate(format.bytes())
+                    .order(ByteOrder.nativeOrder())
+                    .putLong(0, format.layout());
             while (content.hasRemaining()) {
                 out.write(content);
             }
@@ -90,26 +110,23 @@
     }
 
     /** Whether the file has the current layout. A shorter file must not be mapped: access past its end is fatal. */
-    private static boolean isUsable(Path file) throws IOException {
+    private static boolean isUsable(Path file, Format format) throws IOException {
         try (FileChannel in = FileChannel.open(file, StandardOpenOption.READ)) {
             ByteBuffer header = ByteBuffer.allocate(HEADER_LONGS * Long.BYTES).order(ByteOrder.nativeOrder());
             in.read(header);
-            return in.size() == BYTES && !header.hasRemaining() && header.getLong(0) == LAYOUT;
+            return in.size() == format.bytes() && !header.hasRemaining() && header.getLong(0) == format.layout();
         }
     }
 
-    private static ByteBuffer map(Path file) throws IOException {
+    private static ByteBuffer map(Path file, Format format) throws IOException {
         try (FileChannel channel = FileChannel.open(file, StandardOpenOption.READ, StandardOpenOption.WRITE)) {
-            return channel.map(FileChannel.MapMode.READ_WRITE, 0, BYTES);
+            return channel.map(FileChannel.MapMode.READ_WRITE, 0, format.bytes());
         }
     }
 
-    /**
-     * The reason why an existing file was replaced, so that its content is lost to this process; empty if it was
-     * not.
-     */
-    Optional<String> replacementReason() {
-        return Optional.ofNullable(replacementReason);
+    /** How the file was found, which tells whether earlier entries of other processes may be missing from it. */
+    Origin origin() {
+        return origin;
     }
 
     private static int byteOffset(int index) {
--- a/pooler/src/test/java/frostreel/control/ProcessWithoutCommitTableTest.java
+++ b/pooler/src/test/java/frostreel/control/ProcessWithoutCommitTableTest.java
@@ -29,8 +29,8 @@
     Path dir;
 
     private SharedCommitTable table(long incarnation) throws IOException {
-        CommitTableFile file = CommitTableFile.open(dir);
-        assertThat(file.replacementReason()).isEmpty();
+        SharedTableFile file = SharedTableFile.open(dir, PeerProcessCommits.SharedFile.FORMAT);
+        assertThat(file.origin()).isNotEqualTo(SharedTableFile.Origin.REPLACED);
         return new SharedCommitTable(file, incarnation, NOW_US);
     }
 
@@ -49,7 +49,8 @@
         successor.onSent(NOW_US, 7, NOW_US + 1_000_000);
         successor.onEnded(NOW_US, 7, NOW_US + 1_000_000, Outcome.OK, NOW_US);
         oldStore.removeStale();
-        assertThat(Files.size(dir.resolve(CommitTableFile.NAME))).isEqualTo((1 + SharedCommitTable.LONGS) * Long.BYTES);
+        assertThat(Files.size(dir.resolve(PeerProcessCommits.SharedFile.FORMAT.fileName())))
+                .isEqualTo((1 + SharedCommitTable.LONGS) * Long.BYTES);
         assertThat(table(2).requiredPositionUs(NOW_US + 50_000, 7)).isEqualTo(NOW_US + 1_000);
     }
 
--- a/pooler/src/test/java/frostreel/control/StoredFileCompatibilityTest.java
+++ b/pooler/src/test/java/frostreel/control/StoredFileCompatibilityTest.java
@@ -131,8 +131,8 @@
     @Test
     void readsAndWritesTheSameCommits() throws Exception {
         copyOfStored(stored().resolve("commits"));
-        CommitTableFile file = CommitTableFile.open(folder);
-        assertThat(file.replacementReason().isPresent())
+        SharedTableFile file = SharedTableFile.open(folder, PeerProcessCommits.SharedFile.FORMAT);
+        assertThat(file.origin() == SharedTableFile.Origin.REPLACED)
                 .isEqualTo(Boolean.parseBoolean(expected("commits-replaced").get(0)[0]));
         SharedCommitTable table = new SharedCommitTable(file, READER_INCARNATION, READ_US);
         assertThat(sha256(folder.resolve("commits")))
@@ -164,7 +164,9 @@
         Path file = folder.resolve("commits");
         for (String[] row : expected("cut-commits")) {
             Files.write(file, Arrays.copyOf(complete, Integer.parseInt(row[0])));
-            boolean replaced = CommitTableFile.open(folder).replacementReason().isPresent();
+            boolean replaced = SharedTableFile.open(folder, PeerProcessCommits.SharedFile.FORMAT)
+                            .origin()
+                    == SharedTableFile.Origin.REPLACED;
             assertThat(replaced).as("truncated to %s", row[0]).isEqualTo(Boolean.parseBoolean(row[1]));
             assertThat(sha256(file)).as("truncated to %s", row[0]).isEqualTo(row[2]);
         }
