Share what the processes of an upgrade are told of members' roles, and check responses

Cause: the processes shared commits and not roles. The new one took the list's word for want of other evidence, and Freshness exempted that member from the proof of its position.

Change: SharedRoleTable, one file of regions, one writer each, with checksums. Either process publishes what responses and reports tell, and looks for the other's at each event (1 ms at most). Evidence counts by its time; that of a pooler that has been dead for 10 s does not. A damaged, missing or shortened file is replaced and written again by those who live, and what may be missing is recorded. As the list and an incomplete table prove nothing, Router.mayServe looks at each response to a read that was sent without a proof: it is passed on only if it shows the position or the role.

Measured: RoleHandoverTest (real processes) on: "present" expected, "former" came, in both tests that exist without the file; now all six pass.

--- a/decisions/src/main/java/frostreel/operation/OwnedRegion.java
+++ b/decisions/src/main/java/frostreel/operation/OwnedRegion.java
@@ -13,6 +13,8 @@
     static final int REGIONS = 4;
     /** Length of the header at the start of each region. */
     static final int HEADER_LONGS = 2;
+    /** Length of the part of the header that names the owner, at the start of a region. */
+    static final int OWNER_LONGS = 1;
     /** Owner of a region that has never been used. */
     static final long NO_OWNER = 0;
 
@@ -68,6 +70,11 @@
         memory.set(start + HEARTBEAT_US, nowUs);
     }
 
+    /** Makes the region that begins at this index the next one to be claimed, as its header is damaged. */
+    void offer(int region) {
+        memory.set(region + HEARTBEAT_US, 0);
+    }
+
     /** Returns the index at which the region of this process begins. */
     int start() {
         return start;
--- a/decisions/src/main/java/frostreel/routing/ChainRouter.java
+++ b/decisions/src/main/java/frostreel/routing/ChainRouter.java
@@ -52,13 +52,21 @@
 
     /** A router without a peer process. */
     public ChainRouter(Settings settings, Actions actions, LocalityPolicy localityPolicy) {
-        this(settings, actions, localityPolicy, PeerCommits.NONE);
+        this(settings, actions, localityPolicy, PeerCommits.NONE, PeerRoles.NONE);
     }
 
-    /** A router whose session reads also reflect the commits made through the peer process. */
-    public ChainRouter(Settings settings, Actions actions, LocalityPolicy localityPolicy, PeerCommits peerCommits) {
+    /**
+     * A router of one of the processes of a pooler. Its session reads also reflect the commits made through the others,
+     * and what the others have been told about the roles of members counts for it as well.
+     */
+    public ChainRouter(
+            Settings settings,
+            Actions actions,
+            LocalityPolicy localityPolicy,
+            PeerCommits peerCommits,
+            PeerRoles peerRoles) {
         this.actions = actions;
-        components = new RoutingComponents(settings, actions, localityPolicy, peerCommits);
+        components = new RoutingComponents(settings, actions, localityPolicy, peerCommits, peerRoles);
         this.settings = components.settings;
         slowStart = components.slowStart;
         freshness = components.freshness;
@@ -116,6 +124,7 @@
         PendingRequest request = new PendingRequest(
                 original, requestClass, group, settings.limits().maxAttempts(), nowUs);
         requests.put(original.id(), request);
+        components.primaryTracker.mergePeerRoles(nowUs, group);
         boolean shed = loadShedder.shouldShed(nowUs, request);
         request.countsForGoodput = shed;
         if (shed) {
@@ -159,6 +168,7 @@
      * recently queued; reads that clients marked as retries come last.
      */
     private void releaseWaiting(long nowUs, GroupState group) {
+        components.primaryTracker.mergePeerRoles(nowUs, group);
         components.primaryTracker.suspectIfSilent(nowUs, group);
         WaitingRequests.Queues queues = waiting.of(group);
         writeQueue.release(nowUs, group, queues.writes);
@@ -255,13 +265,28 @@
             return true;
         }
         MemberState member = request.currentMember;
+        components.primaryTracker.mergePeerRoles(nowUs, request.group);
         if (!freshness.isFreshEnough(nowUs, request, member)) {
             return false;
         }
+        freshness.recordRequirement(nowUs, request, member);
         boolean restarted = request.memberStartedUs != member.slowStart.startedUs();
         return !restarted || admitAfterRestart(nowUs, request, member);
     }
 
+    @Override
+    public boolean mayServe(long nowUs, String requestId, Role role, long positionUs) {
+        PendingRequest request = requests.get(requestId);
+        if (request == null || request.currentMember == null) {
+            return true;
+        }
+        if (freshness.provesFresh(request, role, positionUs)) {
+            return true;
+        }
+        components.primaryTracker.mergePeerRoles(nowUs, request.group);
+        return role == Role.UNKNOWN && components.primaryTracker.isKnownPrimary(request.group, request.currentMember);
+    }
+
     /** Charges an attempt to the slow start of its restarted member if the member's budget admits it. */
     private boolean admitAfterRestart(long nowUs, PendingRequest request, MemberState member) {
         boolean admitted = slowStart.admits(nowUs, member.slowStart, request.classIndex());
@@ -276,6 +301,7 @@
         if (!mayBeSent(nowUs, request, member)) {
             return false;
         }
+        freshness.recordRequirement(nowUs, request, member);
         attemptRecorder.recordSend(nowUs, request, member);
         long leftUs = request.original.deadlineUs() - nowUs;
         actions.send(request.original.id(), member.id, Math.max(1, Math.min(timeoutUs, leftUs)));
--- a/decisions/src/main/java/frostreel/routing/Freshness.java
+++ b/decisions/src/main/java/frostreel/routing/Freshness.java
@@ -3,6 +3,7 @@
 import frostreel.routing.Router.Access;
 import frostreel.routing.Router.Outcome;
 import frostreel.routing.Router.RequestClass;
+import frostreel.routing.Router.Role;
 import frostreel.routing.Router.SessionTracking;
 import frostreel.routing.Router.Settings;
 import frostreel.routing.Router.StalenessCheck;
@@ -120,6 +121,24 @@
                 || (member == request.group.primary && member.primaryAtUs > member.replicaAtUs);
     }
 
+    /** Records, when an attempt is sent, which position its response has to show, unless the member has it already. */
+    void recordRequirement(long nowUs, PendingRequest request, MemberState member) {
+        boolean isChecked = settings.get().stalenessCheck() != StalenessCheck.SILENT
+                || request.requestClass.access() == Access.WRITE;
+        long requiredUs = isChecked ? Router.NO_POSITION : requiredPositionUs(nowUs, request);
+        request.unprovenPositionUs = member.appliedUpToUs >= requiredUs ? Router.NO_POSITION : requiredUs;
+    }
+
+    /**
+     * Whether the response to the current attempt of a request reflects the data that the request requires: its member
+     * had the required position before or has it by this response, is the primary, or checks staleness itself.
+     */
+    boolean provesFresh(PendingRequest request, Role role, long positionUs) {
+        return request.unprovenPositionUs == Router.NO_POSITION
+                || role == Role.PRIMARY
+                || positionUs >= request.unprovenPositionUs;
+    }
+
     /**
      * Whether a member has the required position, or checks staleness itself and has probably reached that position.
      */
--- a/decisions/src/main/java/frostreel/routing/MemberState.java
+++ b/decisions/src/main/java/frostreel/routing/MemberState.java
@@ -11,12 +11,15 @@
     /** Time before all others; half the range, so that differences to it do not overflow. */
     static final long DISTANT_PAST = Long.MIN_VALUE / 2;
     /** Evidence time of a role for which there is no evidence yet. */
-    static final long NO_ROLE_EVIDENCE = -1;
+    static final long NO_ROLE_EVIDENCE = PeerRoles.NO_EVIDENCE;
 
     /** Value of {@link #goneSinceUs} while the member is on the endpoint list. */
     private static final long LISTED = 0;
 
     final String id;
+    /** Its key in {@link PeerRoles}. */
+    final long roleKey;
+
     final int groupNumber;
     final SlowStart.MemberBudget slowStart;
     final ConcurrencyWindow window = new ConcurrencyWindow();
@@ -64,6 +67,7 @@
 
     MemberState(String id, int groupNumber, SlowStart.MemberBudget slowStart, int localityHandle, long nowUs) {
         this.id = id;
+        roleKey = PeerRoles.keyOf(id);
         this.groupNumber = groupNumber;
         this.slowStart = slowStart;
         this.localityHandle = localityHandle;
--- a/decisions/src/main/java/frostreel/routing/PendingRequest.java
+++ b/decisions/src/main/java/frostreel/routing/PendingRequest.java
@@ -32,6 +32,8 @@
 
     int attempts;
     long sentAtUs;
+    /** Position that the response to the current attempt has to prove, or {@link Router#NO_POSITION} for none. */
+    long unprovenPositionUs = Router.NO_POSITION;
     /** Start time of the current member at the time when the attempt was charged to its slow start. */
     long memberStartedUs;
 
--- a/decisions/src/main/java/frostreel/routing/PrimaryTracker.java
+++ b/decisions/src/main/java/frostreel/routing/PrimaryTracker.java
@@ -14,13 +14,51 @@
     private static final long LISTED_AT_US = 0;
 
     private final ActiveSettings settings;
+    private final PeerRoles peerRoles;
+    /** Reused for each call of {@link PeerRoles#read}. */
+    private final PeerRoles.Evidence peerEvidence = new PeerRoles.Evidence();
 
-    PrimaryTracker(ActiveSettings settings) {
+    PrimaryTracker(ActiveSettings settings, PeerRoles peerRoles) {
         this.settings = settings;
+        this.peerRoles = peerRoles;
     }
 
-    /** Records the role of a member as of {@code atUs}. */
+    /** Records the role of a member as of {@code atUs}, and tells the other processes of the pooler. */
     void recordRole(GroupState group, MemberState member, Role role, long atUs, RoleEvidence evidence) {
+        if (role == Role.REPLICA || (role == Role.PRIMARY && evidence == RoleEvidence.RESPONSE)) {
+            peerRoles.publish(member.roleKey, role, atUs);
+        }
+        apply(group, member, role, atUs, evidence);
+    }
+
+    /** Takes over what the other processes of the pooler have been told about the members of a group. */
+    void mergePeerRoles(long nowUs, GroupState group) {
+        if (peerRoles == PeerRoles.NONE) {
+            return;
+        }
+        peerRoles.refresh(nowUs);
+        for (int i = 0; i < group.chain.size(); i++) {
+            MemberState member = group.chain.get(i);
+            peerRoles.read(member.roleKey, peerEvidence);
+            if (peerEvidence.replicaAtUs() > member.replicaAtUs) {
+                apply(group, member, Role.REPLICA, peerEvidence.replicaAtUs(), RoleEvidence.PEER);
+            }
+            if (peerEvidence.primaryAtUs() > member.primaryAtUs) {
+                apply(group, member, Role.PRIMARY, peerEvidence.primaryAtUs(), RoleEvidence.PEER);
+            }
+        }
+    }
+
+    /**
+     * Whether a member is the primary as far as this pooler has been told, whichever of its processes was. Not so if a
+     * process may have been told otherwise without this one knowing.
+     */
+    boolean isKnownPrimary(GroupState group, MemberState member) {
+        peerRoles.read(member.roleKey, peerEvidence);
+        return peerEvidence.complete() && member == group.primary && member.primaryAtUs > member.replicaAtUs;
+    }
+
+    private void apply(GroupState group, MemberState member, Role role, long atUs, RoleEvidence evidence) {
         if (role == Role.PRIMARY && atUs > member.replicaAtUs) {
             member.primaryAtUs = Math.max(member.primaryAtUs, atUs);
             if (member.isUsable(settings.rules())) {
@@ -45,6 +83,7 @@
 
     private static boolean outranksPrimary(GroupState group, RoleEvidence evidence) {
         return evidence == RoleEvidence.RESPONSE
+                || evidence == RoleEvidence.PEER
                 || group.primary == null
                 || group.primarySuspected
                 || !group.primaryConfirmed;
--- a/decisions/src/main/java/frostreel/routing/RoleEvidence.java
+++ b/decisions/src/main/java/frostreel/routing/RoleEvidence.java
@@ -6,6 +6,8 @@
     LIST,
     /** A load report of the member, which is as old as the position in it. */
     REPORT,
+    /** What another process of the pooler has been told, current as of then; newer reports may replace it. */
+    PEER,
     /** A response of the member, current as of its arrival. */
     RESPONSE
 }
--- a/decisions/src/main/java/frostreel/routing/Router.java
+++ b/decisions/src/main/java/frostreel/routing/Router.java
@@ -294,6 +294,18 @@
      */
     boolean mayStillBegin(long nowUs, String requestId);
 
+    /**
+     * Whether the response to the current attempt of a request may be passed on to its client. Called before that; if
+     * not, the response is dropped, since its data may be too old, and the attempt ends without having served the
+     * request. For a response that is passed on before its end, role and position are not known yet.
+     *
+     * @param role the role that the member reported, or UNKNOWN
+     * @param positionUs the position that the member reported, or {@link #NO_POSITION}
+     */
+    default boolean mayServe(long nowUs, String requestId, Role role, long positionUs) {
+        return true;
+    }
+
     /** An endpoint list arrived, or its update failed. */
     void onMembers(long nowUs, ListKind kind, List<Member> members);
 
--- a/decisions/src/main/java/frostreel/routing/RoutingComponents.java
+++ b/decisions/src/main/java/frostreel/routing/RoutingComponents.java
@@ -26,7 +26,11 @@
     final LoadShedder loadShedder;
 
     RoutingComponents(
-            Settings initialSettings, Actions actions, LocalityPolicy localityPolicy, PeerCommits peerCommits) {
+            Settings initialSettings,
+            Actions actions,
+            LocalityPolicy localityPolicy,
+            PeerCommits peerCommits,
+            PeerRoles peerRoles) {
         this.actions = actions;
         this.localityPolicy = localityPolicy;
         settings = new ActiveSettings(initialSettings);
@@ -38,7 +42,7 @@
         freshness = new Freshness(settings, peerCommits);
         retryPolicy = new RetryPolicy(recheckIntervalUs, latencies);
         healthChecker = new HealthChecker(settings, actions);
-        primaryTracker = new PrimaryTracker(settings);
+        primaryTracker = new PrimaryTracker(settings, peerRoles);
         loadShedder = new LoadShedder(settings, random);
         localityPolicy.onSettings(initialSettings);
     }
--- a/decisions/src/test/java/frostreel/operation/SharedCommitTableTest.java
+++ b/decisions/src/test/java/frostreel/operation/SharedCommitTableTest.java
@@ -13,25 +13,8 @@
     private static final long NOW_US = 1_000_000_000;
     private static final long DEADLINE_US = NOW_US + 3_000_000;
     private static final long SESSION = 7;
-    private final long[] values = new long[SharedCommitTable.LONGS];
-    private final SharedMemoryLongs memory = new SharedMemoryLongs() {
-        @Override
-        public long get(int index) {
-            return values[index];
-        }
-
-        @Override
-        public void set(int index, long value) {
-            values[index] = value;
-        }
-
-        @Override
-        public boolean compareAndSet(int index, long expected, long newValue) {
-            boolean same = values[index] == expected;
-            values[index] = same ? newValue : expected;
-            return same;
-        }
-    };
+    private final SharedMemoryArray memory = new SharedMemoryArray(SharedCommitTable.LONGS);
+    private final long[] values = memory.values;
     private long lastIncarnation;
     private final SharedCommitTable before = startProcess(NOW_US);
     private final SharedCommitTable after = startProcess(NOW_US);
--- a/decisions/src/test/java/frostreel/routing/PrimaryTrackerTest.java
+++ b/decisions/src/test/java/frostreel/routing/PrimaryTrackerTest.java
@@ -13,7 +13,7 @@
     private static final long NOW_US = 10_000_000;
     private final Router.Settings settings = new SettingsBuilder().build();
     private final SlowStart slowStart = new SlowStart(settings);
-    private final PrimaryTracker tracker = new PrimaryTracker(new ActiveSettings(settings));
+    private final PrimaryTracker tracker = new PrimaryTracker(new ActiveSettings(settings), PeerRoles.NONE);
     private final GroupState group = new GroupState(1, new Goodput(() -> 1_000_000));
     private final MemberState first = member("first");
     private final MemberState second = member("second");
--- a/decisions/src/test/java/frostreel/routing/RouterHarness.java
+++ b/decisions/src/test/java/frostreel/routing/RouterHarness.java
@@ -27,7 +27,7 @@
 
     static final int GROUP = 1;
     static final long SESSION = 42;
-    private static final long START_US = 100_000_000;
+    static final long START_US = 100_000_000;
     private static final long USUAL_DEADLINE_US = 4_000_000;
     private static final long USUAL_DURATION_US = 50_000;
     private static final long HEALTH_CHECK_DURATION_US = 1_000;
@@ -52,7 +52,12 @@
     private final List<Timer> timers = new ArrayList<>();
 
     RouterHarness(Router.Settings settings) {
-        router = new ChainRouter(settings, this);
+        this(settings, PeerRoles.NONE);
+    }
+
+    /** A harness of one of the processes of a pooler, which share what they know of roles. */
+    RouterHarness(Router.Settings settings, PeerRoles peerRoles) {
+        router = new ChainRouter(settings, this, new NearestZonePolicy(settings.zone()), PeerCommits.NONE, peerRoles);
     }
 
     /** Starts with three members: a, listed as primary, and b are in the router's zone, c is in another. */
@@ -203,6 +208,11 @@
         return router.mayStillBegin(nowUs, id);
     }
 
+    /** Whether a response of the newest attempt of a request with this role and position may be passed on. */
+    boolean mayServe(String id, Role role, long positionUs) {
+        return router.mayServe(nowUs, id, role, positionUs);
+    }
+
     /** Advances the clock, firing timers in the order in which they are due. */
     void advance(long byUs) {
         long untilUs = nowUs + byUs;
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -7,6 +7,7 @@
 import frostreel.control.AdminListener;
 import frostreel.control.CommandExecutor;
 import frostreel.control.PeerProcessCommits;
+import frostreel.control.PeerProcessRoles;
 import frostreel.control.SharedClock;
 import frostreel.control.SupersededSettingsFile;
 import frostreel.frontend.Listener;
@@ -23,6 +24,7 @@
 import frostreel.zones.ZoneFailoverPolicy;
 import java.io.IOException;
 import java.net.InetSocketAddress;
+import java.nio.file.Path;
 import java.util.List;
 import java.util.SplittableRandom;
 import java.util.function.Consumer;
@@ -58,12 +60,19 @@
      */
     Pooler(Config config, OperatorSettings operatorSettings, long configuredListWaitUs, long lingerUs)
             throws IOException {
-        loop = new EventLoop(SharedClock.open(config.commandFolder().orElse(null)));
-        PeerProcessCommits peer = PeerProcessCommits.open(config, loop.clock().now());
-        loop.onHeartbeat(peer.writeObserver()::onHeartbeat);
+        Path sharedFolder = config.commandFolder().orElse(null);
+        boolean isFirstProcess = SharedClock.isFirstProcess(sharedFolder);
+        loop = new EventLoop(SharedClock.open(sharedFolder));
+        PeerProcessCommits commits =
+                PeerProcessCommits.open(config, loop.clock().now());
+        PeerProcessRoles roles = PeerProcessRoles.open(config, loop, isFirstProcess);
+        loop.onHeartbeat(nowUs -> {
+            commits.writeObserver().onHeartbeat(nowUs);
+            roles.onHeartbeat(nowUs);
+        });
         ServerPool pool = new ServerPool(loop, config.settings(), config.maxServerConnections());
         zonePolicy = zonePolicy(config, operatorSettings);
-        broker = broker(config, pool, peer);
+        broker = broker(config, pool, commits, roles);
         RequestClassRegistry classes =
                 new RequestClassRegistry(config.settings().classes());
         lifecycle = lifecycle(config, lingerUs);
@@ -123,7 +132,7 @@
                 new SplittableRandom(settings.seed()).nextDouble());
     }
 
-    private Broker broker(Config config, ServerPool pool, PeerProcessCommits peer) {
+    private Broker broker(Config config, ServerPool pool, PeerProcessCommits commits, PeerProcessRoles roles) {
         return new Broker(
                 loop.clock(),
                 loop.deadlines(),
@@ -133,13 +142,14 @@
                 pool,
                 config.settings(),
                 config.maxOpenRequests(),
-                (settings, actions) -> router(settings, actions, peer),
-                peer.writeObserver());
+                (settings, actions) -> router(settings, actions, commits, roles),
+                commits.writeObserver());
     }
 
-    private Router router(Router.Settings settings, Router.Actions actions, PeerProcessCommits peer) {
+    private Router router(
+            Router.Settings settings, Router.Actions actions, PeerProcessCommits commits, PeerProcessRoles roles) {
         LocalityPolicy policy = zonePolicy == null ? new NearestZonePolicy(settings.zone()) : zonePolicy;
-        return new ChainRouter(settings, actions, policy, peer.peerCommits());
+        return new ChainRouter(settings, actions, policy, commits.peerCommits(), roles.peerRoles());
     }
 
     private Listener listener(Config config, RequestClassRegistry classes) {
--- a/pooler/src/main/java/frostreel/broker/AttemptRunner.java
+++ b/pooler/src/main/java/frostreel/broker/AttemptRunner.java
@@ -168,8 +168,9 @@
         }
     }
 
-    private void onEnded(ActiveRequest request, int attempt, BackEnd.Result result) {
+    private void onEnded(ActiveRequest request, int attempt, BackEnd.Result reported) {
         long now = clock.now();
+        BackEnd.Result result = dropIfTooOld(now, request, reported);
         recordOutcome(request, result.outcome());
         if (request.streaming) {
             endStream(request, result);
@@ -195,6 +196,19 @@
         requests.removeIfDone(request);
     }
 
+    /** Returns the result without its response if the response may be too old for the client, which is not served. */
+    private BackEnd.Result dropIfTooOld(long nowUs, ActiveRequest request, BackEnd.Result result) {
+        boolean isForClient = result.outcome() == Outcome.OK && !request.closed;
+        if (!isForClient || router.mayServe(nowUs, request.routerId, result.role(), result.positionUs())) {
+            return result;
+        }
+        counters.responsesTooOld++;
+        // An idempotent read may be repeated as freely as one that was declined; any other one has run.
+        boolean isIdempotent = request.requestClass.idempotency() == Router.Idempotency.IDEMPOTENT;
+        Outcome outcome = isIdempotent ? Outcome.WRONG_ROLE_OR_STALE : Outcome.CANCELLED;
+        return new BackEnd.Result(outcome, result.role(), result.positionUs(), result.report(), null);
+    }
+
     private void recordOutcome(ActiveRequest request, Outcome outcome) {
         deadlines.cancel(request.attemptTimeout);
         request.attemptHandle = SlotTable.NONE;
@@ -238,6 +252,10 @@
             return null;
         }
         long now = clock.now();
+        if (!router.mayServe(now, request.routerId, Router.Role.UNKNOWN, NO_POSITION)) {
+            counters.responsesTooOld++;
+            return null; // The attempt ends as cancelled.
+        }
         request.markClosed(deadlines);
         deadlines.cancel(request.attemptTimeout);
         request.streaming = true;
--- a/pooler/src/main/java/frostreel/control/PeerProcessCommits.java
+++ b/pooler/src/main/java/frostreel/control/PeerProcessCommits.java
@@ -7,7 +7,6 @@
 import frostreel.routing.Router;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.SplittableRandom;
 import java.util.logging.Logger;
 
 /**
@@ -40,7 +39,7 @@
             try {
                 Path folder = config.commandFolder().orElseThrow(() -> new IOException("no folder for shared files"));
                 SharedTableFile file = SharedTableFile.open(folder, FORMAT);
-                SharedCommitTable table = new SharedCommitTable(file, newIncarnation(), nowUs);
+                SharedCommitTable table = new SharedCommitTable(file, SharedTableFile.newIncarnation(), nowUs);
                 if (file.origin() == SharedTableFile.Origin.REPLACED) {
                     warn(folder.resolve(FORMAT.fileName()) + " was corrupt or of another version; replaced");
                     return new PeerProcessCommits(table, SharedCommitTable.UNKNOWN_PEER_COMMITS);
@@ -52,11 +51,6 @@
             }
         }
 
-        /** Returns a random number, to be unique among the processes; odd, so that it is not 0. */
-        private static long newIncarnation() {
-            return new SplittableRandom().nextLong() | 1;
-        }
-
         private static void warn(String reason) {
             LOG.warning("commits of peer processes unknown: " + reason);
         }
--- a/pooler/src/main/java/frostreel/control/SharedClock.java
+++ b/pooler/src/main/java/frostreel/control/SharedClock.java
@@ -46,6 +46,14 @@
         }
     }
 
+    /**
+     * Whether no process of this pooler has stored its clock in the folder; to be called before {@link #open}. Without
+     * a folder there is no knowing.
+     */
+    public static boolean isFirstProcess(Path folder) {
+        return folder != null && Files.notExists(folder.resolve(FILE_NAME));
+    }
+
     private static long monotonicUs() {
         return System.nanoTime() / NANOS_PER_MICRO;
     }
--- a/pooler/src/main/java/frostreel/control/SharedTableFile.java
+++ b/pooler/src/main/java/frostreel/control/SharedTableFile.java
@@ -12,6 +12,7 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.SplittableRandom;
 
 /**
  * A memory-mapped file that holds a table and is shared by all processes of one pooler. A header that identifies the
@@ -27,7 +28,12 @@
      */
     record Format(String fileName, long layout, int longs) {
         private int bytes() {
-            return (HEADER_LONGS + longs) * Long.BYTES;
+            return (int) byteOffset(longs);
+        }
+
+        /** Returns where the value at an index of the table stands in the file. */
+        long byteOffset(int index) {
+            return (long) (HEADER_LONGS + index) * Long.BYTES;
         }
     }
 
@@ -60,6 +66,12 @@
      * other's entries.
      */
     static SharedTableFile open(Path folder, Format format) throws IOException {
+        Origin origin = prepare(folder, format);
+        return new SharedTableFile(map(folder.resolve(format.fileName()), format), origin);
+    }
+
+    /** Creates the file in the folder if it is missing, and replaces one that is corrupt or of another layout. */
+    static Origin prepare(Path folder, Format format) throws IOException {
         Files.createDirectories(folder);
         Path file = folder.resolve(format.fileName());
         Origin origin = Origin.FOUND;
@@ -70,7 +82,7 @@
             Files.move(writeEmpty(folder, format), file, StandardCopyOption.ATOMIC_MOVE);
             origin = Origin.REPLACED;
         }
-        return new SharedTableFile(map(file, format), origin);
+        return origin;
     }
 
     /**
@@ -109,8 +121,8 @@
         return file;
     }
 
-    /** Whether the file has the current layout. A shorter file must not be mapped: access past its end is fatal. */
-    private static boolean isUsable(Path file, Format format) throws IOException {
+    /** Whether the file exists and has the current layout. A shorter file must not be mapped: access past its end is fatal. */
+    static boolean isUsable(Path file, Format format) throws IOException {
         try (FileChannel in = FileChannel.open(file, StandardOpenOption.READ)) {
             ByteBuffer header = ByteBuffer.allocate(HEADER_LONGS * Long.BYTES).order(ByteOrder.nativeOrder());
             in.read(header);
@@ -124,6 +136,11 @@
         }
     }
 
+    /** Returns a number that identifies a process in the table: random, to be unique, and odd, so that it is not 0. */
+    static long newIncarnation() {
+        return new SplittableRandom().nextLong() | 1;
+    }
+
     /** How the file was found, which tells whether earlier entries of other processes may be missing from it. */
     Origin origin() {
         return origin;
--- a/pooler/src/main/java/frostreel/stats/Counters.java
+++ b/pooler/src/main/java/frostreel/stats/Counters.java
@@ -45,6 +45,9 @@
     /** Times that a long response was left in the socket of its server because the buffers were full. */
     public long responsesHeldBack;
 
+    /** Responses to reads that were not passed on because their data may be older than the class allows. */
+    public long responsesTooOld;
+
     public long responsesStreamed;
     /** Streamed responses that ended incomplete. */
     public long streamedResponsesBroken;
@@ -127,6 +130,7 @@
                 + " input_held_back=" + inputsHeldBack
                 + " input_deferred=" + inputsDeferred
                 + " answers_held_back=" + responsesHeldBack
+                + " answers_too_old=" + responsesTooOld
                 + " outcomes=" + outcomes;
     }
 }
--- a/pooler/src/test/java/frostreel/broker/BrokerTest.java
+++ b/pooler/src/test/java/frostreel/broker/BrokerTest.java
@@ -147,6 +147,71 @@
         assertThat(outcomes).containsExactly(Router.Outcome.RESET);
     }
 
+    /** A router that sends each request once, lets no response pass, and records outcomes. */
+    private static final class DistrustfulRouter extends IdleRouter {
+        private final Actions actions;
+        private final List<Outcome> outcomes;
+
+        DistrustfulRouter(Actions actions, List<Outcome> outcomes) {
+            this.actions = actions;
+            this.outcomes = outcomes;
+        }
+
+        @Override
+        public void onRequest(long nowUs, Request request) {
+            actions.send(request.id(), "a", DEADLINE_US);
+        }
+
+        @Override
+        public boolean mayServe(long nowUs, String requestId, Role role, long positionUs) {
+            return false;
+        }
+
+        @Override
+        public void onOutcome(
+                long nowUs,
+                String requestId,
+                int attempt,
+                String memberId,
+                Outcome outcome,
+                boolean closed,
+                long tookUs,
+                Role role,
+                long positionUs,
+                Report report) {
+            assertThat(closed).isFalse();
+            outcomes.add(outcome);
+            actions.fail(requestId);
+        }
+    }
+
+    /** Guards against old data that reaches the client before the router sees which server it is from. */
+    @Test
+    void responseThatTheRouterDoesNotLetPassIsDroppedAtItsEndOrAtTheBeginningOfALongOne() {
+        List<Router.Outcome> outcomes = new ArrayList<>();
+        EndingBackEnd backEnd = new EndingBackEnd();
+        Counters counters = new Counters();
+        Broker broker = new Broker(
+                () -> nowUs,
+                deadlines,
+                counters,
+                backEnd,
+                settings(0),
+                16,
+                (given, actions) -> new DistrustfulRouter(actions, outcomes));
+        broker.updateMembers(
+                Router.ListKind.FULL, List.of(new Router.Member("a", 0, 0, 2, true, Router.State.UP, 1, 0)));
+        submit(broker, "short");
+        backEnd.end(Router.Outcome.OK);
+        submit(broker, "long");
+        assertThat(backEnd.listener.longResponseBegins(null)).isNull();
+        backEnd.end(Router.Outcome.CANCELLED);
+
+        assertThat(failed).containsExactly("short", "long");
+        assertThat(outcomes).containsExactly(Router.Outcome.WRONG_ROLE_OR_STALE, Router.Outcome.CANCELLED);
+        assertThat(counters.responsesTooOld).isEqualTo(2);
+    }
+
     /** Holds one attempt, which the test ends. */
     private static final class EndingBackEnd implements BackEnd {
         /** The router's id of the only request: its handle, which is that of the first slot. */
