Store operators' commands beyond 256 KiB in several files, so that they survive an upgrade

What operators saw: SUSPEND was answered OK for each of some 3,000 servers, and after an upgrade the suspended servers got requests again.

Cause: CommandFileFormat refused a file of over 256 KiB when it read one, and wrote it all the same. Evidence: the new test on the code before, 281,646 bytes, "invalid length", nothing read.

Change: commands that do not fit take several files of one incarnation, each complete in itself, so that earlier versions read them; the former files go once all new ones are on disk. More than 16 files are refused when they are written. The 16 incarnations that are kept are counted by incarnation, as one may have several files.

--- a/pooler/src/main/java/frostreel/control/CommandFileFormat.java
+++ b/pooler/src/main/java/frostreel/control/CommandFileFormat.java
@@ -2,17 +2,21 @@
 
 import frostreel.operation.CommandState;
 import frostreel.operation.CommandTarget;
+import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
+import java.util.TreeMap;
 import java.util.zip.CRC32C;
 import org.json.JSONException;
 import org.json.JSONObject;
 
 /**
- * The format of a file of operators' commands: a line with the hexadecimal checksum of the rest, then a JSON object.
+ * The format of files of operators' commands: a line with the hexadecimal checksum of the rest, then a JSON object.
  * Processes of older and newer versions read these files, so the format and its keys must not change.
  */
 final class CommandFileFormat {
@@ -20,8 +24,12 @@
     private static final int CHECKSUM_CHARS = 8;
     /** Length of the checksum with its line feed. */
     private static final int HEADER_BYTES = CHECKSUM_CHARS + 1;
-    /** Maximum length of a file, far more than the commands of operators need; a longer file is corrupt. */
-    private static final int MAX_BYTES = 1 << 18;
+    /** Maximum length of a file; a longer file is corrupt. More commands take several files. */
+    static final int MAX_BYTES = 1 << 18;
+    /** Upper limit of what a file contains beside commands and the incarnation, in bytes. */
+    private static final int OVERHEAD_BYTES = 128;
+    /** Maximum number of files of one incarnation: about 45,000 targets. */
+    static final int MAX_PARTS = 16;
 
     private static final String KEY_VERSION = "version";
     private static final String KEY_INCARNATION = "life";
@@ -32,8 +40,41 @@
 
     private CommandFileFormat() {}
 
-    /** Encodes commands as the content of a file. */
-    static byte[] encode(String incarnation, Map<CommandTarget, CommandState> commands) {
+    /**
+     * Encodes commands as the content of files, each of which can be read on its own; one if there are no commands.
+     *
+     * @throws IOException if they would take more than {@link #MAX_PARTS} files
+     */
+    static List<byte[]> encodeParts(String incarnation, Map<CommandTarget, CommandState> commands) throws IOException {
+        List<byte[]> parts = new ArrayList<>();
+        Map<CommandTarget, CommandState> part = new TreeMap<>();
+        int partBytes = 0;
+        for (Map.Entry<CommandTarget, CommandState> command : new TreeMap<>(commands).entrySet()) {
+            int bytes = encodedBytes(command.getKey(), command.getValue());
+            if (OVERHEAD_BYTES + incarnation.length() + partBytes + bytes > MAX_BYTES) {
+                parts.add(encode(incarnation, part));
+                part.clear();
+                partBytes = 0;
+            }
+            part.put(command.getKey(), command.getValue());
+            partBytes += bytes;
+        }
+        parts.add(encode(incarnation, part));
+        if (parts.size() > MAX_PARTS) {
+            throw new IOException("commands on " + commands.size() + " targets, more than can be stored");
+        }
+        return parts;
+    }
+
+    /** Returns the length of a command in a file, with the separators around it. */
+    private static int encodedBytes(CommandTarget target, CommandState state) {
+        String key = JSONObject.quote(target.key());
+        return key.getBytes(StandardCharsets.UTF_8).length
+                + encode(state).toString().length()
+                + ":,".length();
+    }
+
+    private static byte[] encode(String incarnation, Map<CommandTarget, CommandState> commands) {
         JSONObject states = new JSONObject();
         commands.forEach((target, state) -> states.put(target.key(), encode(state)));
         byte[] body = new JSONObject()
--- a/pooler/src/main/java/frostreel/control/CommandStore.java
+++ b/pooler/src/main/java/frostreel/control/CommandStore.java
@@ -12,17 +12,24 @@
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
+import java.util.Iterator;
+import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.TreeMap;
 import java.util.TreeSet;
 import java.util.logging.Logger;
+import java.util.stream.Collectors;
 
 /**
- * The folder in which the processes of one pooler store the operators' commands. Each incarnation has one file,
- * written by it alone, so that processes never overwrite each other's commands. The file gets a new name with each
- * write, so that readers detect changes by the name. Methods block; used by one thread at a time.
+ * The folder in which the processes of one pooler store the operators' commands. Each incarnation has one file, or
+ * several if its commands do not fit into one, written by it alone, so that processes never overwrite each other's
+ * commands. A file gets a new name with each write, so that readers detect changes by the name. Methods block; used by
+ * one thread at a time.
  */
 final class CommandStore {
     private static final String SUFFIX = ".orders";
@@ -50,8 +57,13 @@
     private final Set<String> processed = new HashSet<>();
     /** The number in the name of this incarnation's newest file. */
     private int lastWritten;
-    /** The highest number of a file of this incarnation that has been deleted. */
-    private int lastDeleted;
+    /** The files of this incarnation with their content, in the order of its parts. */
+    private List<StoredPart> storedParts = List.of();
+    /** Names of files of this incarnation that are to be deleted. */
+    private final Set<String> obsolete = new TreeSet<>();
+
+    @SuppressWarnings("ArrayRecordComponent") // Parts are compared by their content alone.
+    private record StoredPart(String name, byte[] content) {}
 
     /**
      * @param incarnation identifier of this process, unique among all processes that use the folder; letters and
@@ -62,12 +74,31 @@
         this.incarnation = incarnation;
     }
 
-    /** Stores commands in place of those that this incarnation stored before. On return they are synced to disk. */
+    /**
+     * Stores commands in place of those that this incarnation stored before. On return they are synced to disk. Until
+     * all of them are, the files that contain the former ones are kept.
+     */
     void write(Map<CommandTarget, CommandState> commands) throws IOException {
         Files.createDirectories(folder);
+        List<byte[]> contents = CommandFileFormat.encodeParts(incarnation, commands);
+        storedParts.forEach(part -> obsolete.add(part.name()));
+        List<StoredPart> written = new ArrayList<>();
+        for (int i = 0; i < contents.size(); i++) {
+            boolean isStored =
+                    i < storedParts.size() && Arrays.equals(storedParts.get(i).content(), contents.get(i));
+            written.add(isStored && contents.size() > 1 ? storedParts.get(i) : store(contents.get(i)));
+        }
+        syncFolder();
+        written.forEach(part -> obsolete.remove(part.name()));
+        storedParts = written;
+        deleteObsolete();
+    }
+
+    /** Stores a part under a new name, which is obsolete unless the other parts can be stored, too. */
+    private StoredPart store(byte[] content) throws IOException {
         Path temporary = folder.resolve(incarnation + TEMPORARY_SUFFIX);
         try {
-            writeAndSync(temporary, CommandFileFormat.encode(incarnation, commands));
+            writeAndSync(temporary, content);
         } catch (IOException failure) {
             Files.deleteIfExists(temporary); // It takes up space that the next attempt may need.
             throw failure;
@@ -76,8 +107,8 @@
         String name = fileName(++lastWritten);
         Files.move(temporary, folder.resolve(name), StandardCopyOption.ATOMIC_MOVE);
         processed.add(name);
-        syncFolder();
-        deleteOlderThan(lastWritten);
+        obsolete.add(name);
+        return new StoredPart(name, content);
     }
 
     private static void writeAndSync(Path file, byte[] content) throws IOException {
@@ -97,10 +128,9 @@
         }
     }
 
-    private void deleteOlderThan(int newest) throws IOException {
-        for (int number = lastDeleted + 1; number < newest; number++) {
-            Files.deleteIfExists(folder.resolve(fileName(number)));
-            lastDeleted = number;
+    private void deleteObsolete() throws IOException {
+        for (Iterator<String> names = obsolete.iterator(); names.hasNext(); names.remove()) {
+            Files.deleteIfExists(folder.resolve(names.next()));
         }
     }
 
@@ -162,19 +192,32 @@
     }
 
     private void removeOldestIncarnations() throws IOException {
-        TreeMap<Long, Path> byTimeMs = new TreeMap<>();
-        try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, "*" + SUFFIX)) {
-            for (Path file : files) {
-                byTimeMs.putIfAbsent(Files.getLastModifiedTime(file).toMillis(), file);
+        Map<String, Long> lastWrittenMs = new HashMap<>();
+        Set<String> names;
+        try {
+            names = fileNames();
+            for (String name : names) {
+                long writtenMs = Files.getLastModifiedTime(folder.resolve(name)).toMillis();
+                lastWrittenMs.merge(incarnationOf(name), writtenMs, Math::max);
             }
         } catch (NoSuchFileException folderMissing) {
-            return; // Nothing has been written yet.
+            return; // Nothing has been written yet, or a file is being replaced.
         }
-        while (byTimeMs.size() > MAX_INCARNATIONS) {
-            Files.deleteIfExists(byTimeMs.pollFirstEntry().getValue());
+        Set<String> oldest = lastWrittenMs.keySet().stream()
+                .sorted(Comparator.comparing(lastWrittenMs::get))
+                .limit(Math.max(0, lastWrittenMs.size() - MAX_INCARNATIONS))
+                .collect(Collectors.toSet());
+        for (String name : names) {
+            if (oldest.contains(incarnationOf(name))) {
+                Files.deleteIfExists(folder.resolve(name));
+            }
         }
     }
 
+    private static String incarnationOf(String fileName) {
+        return fileName.substring(0, Math.max(0, fileName.lastIndexOf('-')));
+    }
+
     /** Deletes old temporary files; another process may still be writing recent ones. */
     private void removeTemporaryFiles() throws IOException {
         try (DirectoryStream<Path> files = Files.newDirectoryStream(folder, "*" + TEMPORARY_SUFFIX)) {
--- a/pooler/src/test/java/frostreel/control/CommandStoreTest.java
+++ b/pooler/src/test/java/frostreel/control/CommandStoreTest.java
@@ -10,8 +10,10 @@
 import java.nio.file.Path;
 import java.nio.file.attribute.FileTime;
 import java.util.Arrays;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
@@ -140,4 +142,41 @@
         assertThat(stale).doesNotExist();
         assertThat(recent).exists();
     }
+
+    /** Guards against commands that are stored in a file that is too long to be read, and lost with their process. */
+    @Test
+    void storesThousandsOfCommandsSoThatEachRoundOfThemIsReadByOthers() throws Exception {
+        CommandStore one = store("one");
+        CommandStore two = store("two");
+        for (int round = 0; round < 5; round++) {
+            for (CommandState state : List.of(issuedAt(round), revokedAt(round))) {
+                Map<CommandTarget, CommandState> commands = new HashMap<>();
+                IntStream.range(0, 3_200)
+                        .forEach(i -> commands.put(CommandTarget.server(String.format("s-%08x", i)), state));
+                one.write(commands);
+                assertThat(two.readOthers().commands()).isEqualTo(commands);
+                assertThat(readBy("three")).isEqualTo(commands);
+                assertThat(files()).as("parts, of which none is left over").hasSize(2);
+            }
+        }
+    }
+
+    private static CommandState issuedAt(int round) {
+        return CommandState.issued(1_765_000_000_000_000L + 2 * round);
+    }
+
+    private static CommandState revokedAt(int round) {
+        long issuedUs = issuedAt(round).inForceSinceUs();
+        return CommandState.revoked(issuedUs, issuedUs + 1);
+    }
+
+    @Test
+    void refusesMoreCommandsThanItsFilesHoldAndKeepsTheFormerOnes() throws Exception {
+        CommandStore one = store("one");
+        one.write(SUSPENDED);
+        Map<CommandTarget, CommandState> tooMany = new HashMap<>();
+        IntStream.range(0, 60_000).forEach(i -> tooMany.put(CommandTarget.server("server" + i), issuedAt(i)));
+        assertThatThrownBy(() -> one.write(tooMany)).isInstanceOf(IOException.class);
+        assertThat(readBy("two")).isEqualTo(SUSPENDED);
+    }
 }
--- a/pooler/src/test/java/frostreel/control/StoredFileCompatibilityTest.java
+++ b/pooler/src/test/java/frostreel/control/StoredFileCompatibilityTest.java
@@ -101,7 +101,8 @@
             byte[] complete = Files.readAllBytes(file);
             String name = file.getFileName().toString();
             String incarnation = name.substring(0, name.indexOf('-'));
-            assertThat(CommandFileFormat.encode(incarnation, CommandFileFormat.decode(complete)))
+            assertThat(CommandFileFormat.encodeParts(incarnation, CommandFileFormat.decode(complete))
+                            .get(0))
                     .as(name)
                     .isEqualTo(complete);
         }
