--- a/decisions/src/test/java/frostreel/routing/SlowStartTest.java
+++ b/decisions/src/test/java/frostreel/routing/SlowStartTest.java
@@ -106,6 +106,33 @@
         assertThat(sent).isBetween(21, 59);
     }
 
+    /** Guards against the processes of an upgrade that together send what overloads a starting member. */
+    @Test
+    void processesOfAnUpgradeTogetherSendLessThanOverloadsAStartingMember() {
+        SlowStart oldProcess = slowStart(1, 7);
+        long startedUs = serve(oldProcess, registerWarm(oldProcess), SHORT, 40, WORK_US);
+        SlowStart newProcess = slowStart(1, 7);
+        SlowStart.MemberBudget newWarm = register(newProcess, "warm", startedUs, Member.NO_START_TIME);
+        SlowStart.MemberBudget newCold = register(newProcess, "cold", startedUs, startedUs);
+        SlowStart.MemberBudget oldCold = register(oldProcess, "cold", startedUs, startedUs);
+        int sent = 0;
+        for (long nowUs = startedUs; nowUs < startedUs + 2 * SECOND_US; nowUs += SECOND_US / 40) {
+            newProcess.recordResponse(nowUs, newWarm, SHORT, WORK_US); // The whole load has moved to the new process.
+            sent += sent(oldProcess, oldCold, nowUs) + sent(newProcess, newCold, nowUs);
+        }
+        // The starting member could serve 20; 60 would overload it.
+        assertThat(sent).isBetween(21, 59);
+    }
+
+    private static int sent(SlowStart slowStart, SlowStart.MemberBudget cold, long nowUs) {
+        int sent = 0;
+        while (slowStart.admits(nowUs, cold, SHORT)) {
+            slowStart.recordSend(cold, SHORT);
+            sent++;
+        }
+        return sent;
+    }
+
     /**
      * By its initial estimate alone, a write would cost a thousand times as much as the reads served so far, and wait
      * for 4 s.
