Let the role and position after a long response count

What callers saw: reads that must be fresh kept going to a former primary that answers them with values of over 64 KiB.

Cause: such a response is reported to the router when it begins, before its server tells role and position, and AttemptRunner.endStream dropped both. Evidence: LongResponseRoleTest on the code before: the second read is answered by the former primary, too.

Change: Router.onLongResponseEnded. PrimaryTracker records it and tells the other process of an upgrade, as for any response.

Measured: LongResponseRoleTest (real connections) and the new test of PrimaryTrackingTest, red before, green now.

--- a/decisions/src/main/java/frostreel/routing/AttemptRecorder.java
+++ b/decisions/src/main/java/frostreel/routing/AttemptRecorder.java
@@ -91,10 +91,7 @@
         if (report != null) {
             recordReport(nowUs, request.group, member, report);
         }
-        if (hasPosition(positionUs)) {
-            member.recordPosition(nowUs, positionUs);
-        }
-        primaryTracker.recordRole(request.group, member, role, nowUs, RoleEvidence.RESPONSE);
+        recordRoleAndPosition(nowUs, request.group, member, role, positionUs);
         freshness.recordOutcome(nowUs, request, outcome, positionUs);
         switch (outcome) {
             case OK -> recordSuccess(nowUs, request, member, tookUs);
@@ -105,6 +102,14 @@
         }
     }
 
+    /** Records what a response reported of its member. */
+    void recordRoleAndPosition(long nowUs, GroupState group, MemberState member, Role role, long positionUs) {
+        if (hasPosition(positionUs)) {
+            member.recordPosition(nowUs, positionUs);
+        }
+        primaryTracker.recordRole(group, member, role, nowUs, RoleEvidence.RESPONSE);
+    }
+
     private static void recordProgress(long nowUs, MemberState member, Outcome outcome) {
         boolean responded = outcome == Outcome.OK
                 || outcome == Outcome.ERROR
--- a/decisions/src/main/java/frostreel/routing/ChainRouter.java
+++ b/decisions/src/main/java/frostreel/routing/ChainRouter.java
@@ -274,6 +274,16 @@
         return !restarted || admitAfterRestart(nowUs, request, member);
     }
 
+    @Override
+    public void onLongResponseEnded(long nowUs, String memberId, Role role, long positionUs) {
+        MemberState member = directory.member(memberId);
+        if (member != null) {
+            GroupState group = directory.group(member.groupNumber);
+            attemptRecorder.recordRoleAndPosition(nowUs, group, member, role, positionUs);
+            releaseWaiting(nowUs, group);
+        }
+    }
+
     @Override
     public boolean mayServe(long nowUs, String requestId, Role role, long positionUs) {
         PendingRequest request = requests.get(requestId);
--- a/decisions/src/main/java/frostreel/routing/Router.java
+++ b/decisions/src/main/java/frostreel/routing/Router.java
@@ -306,6 +306,15 @@
         return true;
     }
 
+    /**
+     * A response that was passed on before its end has ended, and its member has reported role and position, which
+     * {@link #onOutcome} could not tell.
+     *
+     * @param role the role that the member reported, or UNKNOWN
+     * @param positionUs the position that the member reported, or {@link #NO_POSITION}
+     */
+    default void onLongResponseEnded(long nowUs, String memberId, Role role, long positionUs) {}
+
     /** An endpoint list arrived, or its update failed. */
     void onMembers(long nowUs, ListKind kind, List<Member> members);
 
--- a/decisions/src/test/java/frostreel/routing/PrimaryTrackingTest.java
+++ b/decisions/src/test/java/frostreel/routing/PrimaryTrackingTest.java
@@ -1,5 +1,6 @@
 package frostreel.routing;
 
+import static frostreel.routing.RouterHarness.FRESH_READ;
 import static frostreel.routing.RouterHarness.KEYED_WRITE;
 import static frostreel.routing.RouterHarness.NON_IDEMPOTENT_WRITE;
 import static frostreel.routing.RouterHarness.primary;
@@ -61,4 +62,18 @@
         harness.healthCheckSucceeded("b", Role.PRIMARY, harness.nowUs);
         assertEquals("b", harness.lastAttempt("next").member());
     }
+
+    /** Guards against a former primary that answers long values only, and is never found out. */
+    @Test
+    void roleAtTheEndOfALongResponseCountsLikeThatOfAShortOne() {
+        RouterHarness harness = threeMembers();
+        harness.submit("long", FRESH_READ);
+        assertEquals("a", harness.lastAttempt("long").member());
+        harness.complete("long", Outcome.OK);
+        harness.router.onLongResponseEnded(harness.nowUs, "a", Role.REPLICA, 0);
+        harness.submit("next", FRESH_READ);
+        assertNull(harness.lastAttempt("next"), "no member is known as primary");
+        harness.router.onLongResponseEnded(harness.nowUs, "b", Role.PRIMARY, 0);
+        assertEquals("b", harness.lastAttempt("next").member());
+    }
 }
--- a/pooler/src/main/java/frostreel/broker/AttemptRunner.java
+++ b/pooler/src/main/java/frostreel/broker/AttemptRunner.java
@@ -280,6 +280,7 @@
     private void endStream(ActiveRequest request, BackEnd.Result result) {
         if (result.outcome() == Outcome.OK) {
             request.handler.served(result.response());
+            router.onLongResponseEnded(clock.now(), request.lastMemberId, result.role(), result.positionUs());
         } else {
             counters.streamedResponsesBroken++;
             request.handler.responseBroken();
--- a/pooler/src/main/java/frostreel/control/SharedTableFile.java
+++ b/pooler/src/main/java/frostreel/control/SharedTableFile.java
@@ -121,7 +121,7 @@
         return file;
     }
 
-    /** Whether the file exists and has the current layout. A shorter file must not be mapped: access past its end is fatal. */
+    /** Whether the file has the current layout. A shorter file must not be mapped: access past its end is fatal. */
     static boolean isUsable(Path file, Format format) throws IOException {
         try (FileChannel in = FileChannel.open(file, StandardOpenOption.READ)) {
             ByteBuffer header = ByteBuffer.allocate(HEADER_LONGS * Long.BYTES).order(ByteOrder.nativeOrder());
