Be careful beside a process that shares no commits, instead of taking no file for no commits

What callers saw: a session's read missed the session's own write, which had gone through the other process of an upgrade, where that process had no file of commits or its file was removed.

Cause: a missing file was taken for that of a first process, and nobody looked at the file after the start. Evidence: HandoverTest of the lab (real processes) on the code before, "primary" expected and "replica" came, for a process that began with a full folder and for a removed file.

Change: if the shared clock shows that a process has run before, a new file binds every session's read to all that may be known for 15 s (SIGTERM within 6 s, SIGKILL at most 3.7 s later). A process whose file is no longer under its name knows nothing of the others from then on. A first start is as before.

One line of servesWithoutTheCommitTableWhereItsFileCannotGrow was wrong: it asked that a process beside one that shares nothing reads from a replica at once, which may be stale. The test now reads what was written through the other one (primary), and asks the same of a third process.

--- a/lab/src/test/java/frostreel/lab/processes/HandoverTest.java
+++ b/lab/src/test/java/frostreel/lab/processes/HandoverTest.java
@@ -73,8 +73,26 @@
                     .as("no incomplete file is left")
                     .containsExactly("clock");
         }
+        PoolerAndClient next = rig.startPooler();
+        assertThat(next.read("7f3a"))
+                .as("written through the process that shares nothing")
+                .isEqualTo("primary");
+        full.kill();
         assertThat(rig.startPooler().read("aaaa"))
-                .as("the next process can create the file")
+                .as("the next process has created the file")
                 .isEqualTo("replica");
     }
+
+    /** Guards against stale reads of either process where the file that both map was removed between their starts. */
+    @Test
+    void sessionsSeeTheirWritesThroughTheOtherProcessWithoutTheFileOfCommits() throws Exception {
+        PoolerAndClient before = rig.startPooler();
+        assertThat(before.write("7f3a")).isEqualTo("primary");
+        assertThat(before.read("aaaa")).isEqualTo("replica");
+        Files.delete(dir.resolve("frostreel-orders").resolve("commits"));
+        PoolerAndClient after = rig.startPooler();
+        assertThat(after.read("7f3a")).as("written through the old one").isEqualTo("primary");
+        assertThat(after.write("7f3b")).isEqualTo("primary");
+        assertThat(before.read("7f3b")).as("written through the new one").isEqualTo("primary");
+    }
 }
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -64,10 +64,10 @@
         boolean isFirstProcess = SharedClock.isFirstProcess(sharedFolder);
         loop = new EventLoop(SharedClock.open(sharedFolder));
         PeerProcessCommits commits =
-                PeerProcessCommits.open(config, loop.clock().now());
+                PeerProcessCommits.open(config, loop.clock().now(), isFirstProcess);
         PeerProcessRoles roles = PeerProcessRoles.open(config, loop, isFirstProcess);
         loop.onHeartbeat(nowUs -> {
-            commits.writeObserver().onHeartbeat(nowUs);
+            commits.onHeartbeat(nowUs, loop.worker());
             roles.onHeartbeat(nowUs);
         });
         ServerPool pool = new ServerPool(loop, config.settings(), config.maxServerConnections());
--- a/pooler/src/main/java/frostreel/control/PeerProcessRoles.java
+++ b/pooler/src/main/java/frostreel/control/PeerProcessRoles.java
@@ -15,12 +15,6 @@
  * and no member is taken for the primary without a proof in its response. Confined to the I/O thread once it is opened.
  */
 public final class PeerProcessRoles {
-    /**
-     * Time, in microseconds, for which a process that does not use the file may still serve beside a new one: SIGTERM
-     * reaches it within 6 s, SIGKILL at most 3.7 s later; the rest is for a busy machine.
-     */
-    private static final long STRANGERS_SERVE_US = 15_000_000;
-
     private static final Logger LOG = Logger.getLogger(PeerProcessRoles.class.getName());
 
     private final EventLoop loop;
@@ -74,7 +68,7 @@
                 }
                 boolean hasNoPeers = isFirstProcess && storage.origin() == SharedTableFile.Origin.CREATED;
                 long nowUs = loop.clock().now();
-                long strangersUntilUs = hasNoPeers ? nowUs : nowUs + STRANGERS_SERVE_US;
+                long strangersUntilUs = hasNoPeers ? nowUs : nowUs + SharedTableFile.STRANGERS_SERVE_US;
                 long incarnation = SharedTableFile.newIncarnation();
                 SharedRoleTable table = new SharedRoleTable(storage, incarnation, nowUs, strangersUntilUs);
                 return new PeerProcessRoles(loop, table, storage);
--- a/pooler/src/main/java/frostreel/control/SharedTableChannel.java
+++ b/pooler/src/main/java/frostreel/control/SharedTableChannel.java
@@ -5,10 +5,8 @@
 import java.nio.ByteBuffer;
 import java.nio.ByteOrder;
 import java.nio.channels.FileChannel;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
-import java.nio.file.attribute.BasicFileAttributes;
 
 /**
  * The file of a {@link SharedTableFile.Format} as storage that is read and written in parts. Unlike a mapped file, it
@@ -26,12 +24,8 @@
             ByteBuffer.allocateDirect(BUFFER_LONGS * Long.BYTES).order(ByteOrder.nativeOrder());
     private OpenFile file;
 
-    /**
-     * An open file.
-     *
-     * @param key identifies the file, so that another one under its name is noticed
-     */
-    record OpenFile(FileChannel channel, Object key, SharedTableFile.Origin origin) {}
+    /** An open file. */
+    record OpenFile(FileChannel channel, FileIdentity identity, SharedTableFile.Origin origin) {}
 
     private SharedTableChannel(Path folder, SharedTableFile.Format format, OpenFile file) {
         this.folder = folder;
@@ -48,11 +42,7 @@
         SharedTableFile.Origin origin = SharedTableFile.prepare(folder, format);
         Path path = folder.resolve(format.fileName());
         FileChannel channel = FileChannel.open(path, StandardOpenOption.READ, StandardOpenOption.WRITE);
-        return new OpenFile(channel, keyOf(path), origin);
-    }
-
-    private static Object keyOf(Path path) throws IOException {
-        return Files.readAttributes(path, BasicFileAttributes.class).fileKey();
+        return new OpenFile(channel, FileIdentity.of(path), origin);
     }
 
     /** How the file was found when it was opened. */
@@ -69,10 +59,8 @@
      */
     OpenFile reopenIfReplaced(OpenFile inUse) throws IOException {
         Path path = folder.resolve(format.fileName());
-        boolean isCurrent = Files.exists(path)
-                && keyOf(path).equals(inUse.key())
-                && inUse.channel().isOpen()
-                && SharedTableFile.isUsable(path, format);
+        boolean isCurrent =
+                inUse.identity().isCurrent() && inUse.channel().isOpen() && SharedTableFile.isUsable(path, format);
         return isCurrent ? inUse : openFile(folder, format);
     }
 
--- a/pooler/src/main/java/frostreel/control/SharedTableFile.java
+++ b/pooler/src/main/java/frostreel/control/SharedTableFile.java
@@ -47,6 +47,12 @@
         REPLACED
     }
 
+    /**
+     * Time, in microseconds, for which a process that does not use a file may still serve beside a new one: SIGTERM
+     * reaches it within 6 s, SIGKILL at most 3.7 s later; the rest is for a busy machine.
+     */
+    static final long STRANGERS_SERVE_US = 15_000_000;
+
     private static final String TEMPORARY_SUFFIX = ".new";
     /** The header is the layout's identification. */
     private static final int HEADER_LONGS = 1;
--- a/pooler/src/test/java/frostreel/HandoverTest.java
+++ b/pooler/src/test/java/frostreel/HandoverTest.java
@@ -29,9 +29,13 @@
     @TempDir
     Path dir;
 
-    private PeerProcessCommits open(String config, String descriptor) throws Exception {
+    private PeerProcessCommits open(String config, String descriptor, boolean isFirstProcess) throws Exception {
         return PeerProcessCommits.open(
-                Config.parse(config, Map.of("GW_FD", descriptor, "TMPDIR", dir.toString())), NOW_US);
+                Config.parse(config, Map.of("GW_FD", descriptor, "TMPDIR", dir.toString())), NOW_US, isFirstProcess);
+    }
+
+    private PeerProcessCommits open(String config, String descriptor) throws Exception {
+        return open(config, descriptor, true);
     }
 
     private PeerProcessCommits open() throws Exception {
@@ -130,6 +134,31 @@
         Files.delete(folder());
         Files.createFile(folder());
         assertPeersUnknown(open());
-        assertPeersUnknown(PeerProcessCommits.open(Config.parse(REMEMBERED, Map.of("GW_FD", "0")), NOW_US));
+        assertPeersUnknown(PeerProcessCommits.open(Config.parse(REMEMBERED, Map.of("GW_FD", "0")), NOW_US, true));
+    }
+
+    /** Guards against stale reads beside a process that began without the file, or is from before it. */
+    @Test
+    void missingFileBesideAnEarlierProcessHidesItsCommitsUntilItMustHaveEnded() throws Exception {
+        PeerProcessCommits after = open(REMEMBERED, "0", false);
+        assertPeersUnknown(after);
+        write(open(), NOW_US + 2_000);
+        assertThat(after.peerCommits().requiredPositionUs(NOW_US + 60_000_000, SESSION))
+                .isEqualTo(NOW_US + 15_000_000);
+        assertThat(requiredPositionUs(open(REMEMBERED, "0", false)))
+                .as("the file is there now")
+                .isEqualTo(NOW_US + 3_000);
+    }
+
+    /** Guards against stale reads of a process whose file has gone, so that its successor makes another one. */
+    @Test
+    void removedFileHidesPeersFromTheProcessThatStillMapsIt() throws Exception {
+        PeerProcessCommits before = open();
+        before.onHeartbeat(NOW_US, Runnable::run);
+        assertThat(requiredPositionUs(before)).isZero();
+        Files.delete(folder().resolve("commits"));
+        write(open(REMEMBERED, "0", false), NOW_US);
+        before.onHeartbeat(NOW_US, Runnable::run);
+        assertPeersUnknown(before);
     }
 }
