Remember the ids of recent writes, so that one that comes again does not run again

Cause: an id was known as long as its request was open, to its own process alone.

Change: RecentRequestIds keeps the ids of some 8,192 writes of each process, from the start of the first attempt, in a table that the processes of an upgrade share by file operations. A write whose id may have run is answered 22023, as one whose id is open was. The check of a shared file moves from PeerProcessRoles to a class of its own, and the hash of ids to StableHash, which stood twice.

--- a/decisions/src/main/java/frostreel/operation/RoleTableCopy.java
+++ b/decisions/src/main/java/frostreel/operation/RoleTableCopy.java
@@ -1,5 +1,6 @@
 package frostreel.operation;
 
+import frostreel.routing.StableHash;
 import java.util.Arrays;
 
 /**
@@ -8,7 +9,7 @@
  * member was known to be the primary and a replica, and a checksum, as does the header. Regions and entries are
  * identified by the index at which they begin. Times are microseconds on the pooler's clock.
  */
-final class RoleTableCopy implements SharedMemoryLongs {
+final class RoleTableCopy extends TableCopy {
     /** Value for which there is no time yet; less than any time. */
     static final long NO_TIME = 0;
     /** Result of a search that found no entry. */
@@ -43,26 +44,9 @@
 
     /** Key of an entry that has never been used; no entry follows it in its bucket. */
     private static final long NO_KEY = 0;
-    /** Multiplier that spreads keys evenly over buckets: 2^64 divided by the golden ratio. */
-    private static final long FIBONACCI_HASH = 0x9E3779B97F4A7C15L;
 
-    final long[] values = new long[LONGS];
-
-    @Override
-    public long get(int index) {
-        return values[index];
-    }
-
-    @Override
-    public void set(int index, long value) {
-        values[index] = value;
-    }
-
-    @Override
-    public boolean compareAndSet(int index, long expected, long newValue) {
-        boolean same = values[index] == expected;
-        values[index] = same ? newValue : values[index];
-        return same;
+    RoleTableCopy() {
+        super(LONGS);
     }
 
     // ---- Headers. ----
@@ -170,8 +154,7 @@
     }
 
     private static int bucketOf(int region, long memberKey) {
-        int bucket = (int) ((memberKey * FIBONACCI_HASH) >>> (Long.SIZE - BUCKET_BITS));
-        return region + HEADER_LONGS + bucket * BUCKET_LONGS;
+        return region + HEADER_LONGS + StableHash.bucketOf(memberKey, BUCKET_BITS) * BUCKET_LONGS;
     }
 
     // ---- Whole regions. ----
--- a/decisions/src/main/java/frostreel/operation/SharedCommitTable.java
+++ b/decisions/src/main/java/frostreel/operation/SharedCommitTable.java
@@ -2,6 +2,7 @@
 
 import frostreel.routing.PeerCommits;
 import frostreel.routing.Router;
+import frostreel.routing.StableHash;
 
 /**
  * Table of recent writes in memory that all processes of one pooler map. It lets a session's read in one process see
@@ -38,8 +39,6 @@
 
     private static final int SLOT_BITS = 9;
     private static final int SLOTS = 1 << SLOT_BITS;
-    /** Multiplier that spreads session numbers evenly over slots: 2^64 divided by the golden ratio. */
-    private static final long FIBONACCI_HASH = 0x9E3779B97F4A7C15L;
 
     // Offsets in a slot. Each value is a time or NO_TIME.
     private static final int LATEST_COMMIT_US = 0;
@@ -115,7 +114,7 @@
     }
 
     private static int slotOf(long session) {
-        return (int) ((session * FIBONACCI_HASH) >>> (Long.SIZE - SLOT_BITS));
+        return StableHash.bucketOf(session, SLOT_BITS);
     }
 
     private static int slotIndex(int region, int slot) {
--- a/decisions/src/main/java/frostreel/operation/SharedTableStorage.java
+++ b/decisions/src/main/java/frostreel/operation/SharedTableStorage.java
@@ -5,6 +5,19 @@
  * throw: storage may be damaged, shortened or missing at any time.
  */
 public interface SharedTableStorage {
+    /** Storage of a process that shares nothing: every access fails. */
+    SharedTableStorage NONE = new SharedTableStorage() {
+        @Override
+        public boolean read(long[] copy, int index, int length) {
+            return false;
+        }
+
+        @Override
+        public boolean write(long[] copy, int index, int length) {
+            return false;
+        }
+    };
+
     /**
      * Reads a part of the table into the same place of a copy.
      *
--- a/decisions/src/main/java/frostreel/routing/MemberState.java
+++ b/decisions/src/main/java/frostreel/routing/MemberState.java
@@ -67,7 +67,7 @@
 
     MemberState(String id, int groupNumber, SlowStart.MemberBudget slowStart, int localityHandle, long nowUs) {
         this.id = id;
-        roleKey = PeerRoles.keyOf(id);
+        roleKey = StableHash.keyOf(id);
         this.groupNumber = groupNumber;
         this.slowStart = slowStart;
         this.localityHandle = localityHandle;
--- a/decisions/src/main/java/frostreel/routing/PeerRoles.java
+++ b/decisions/src/main/java/frostreel/routing/PeerRoles.java
@@ -5,17 +5,13 @@
 /**
  * What the processes of one pooler have been told about the roles of members. The two processes of an upgrade count as
  * one pooler, so what either has been told binds both. Called for each request and each response: implementations
- * must return within microseconds and allocate nothing. Times are microseconds on the pooler's clock.
+ * must return within microseconds and allocate nothing. Members are
+ * identified by the {@link StableHash} of their ids. Times are microseconds on the pooler's clock.
  */
 public interface PeerRoles {
     /** Time of a role for which there is no evidence. */
     long NO_EVIDENCE = -1;
 
-    /** Initial value of the FNV-1a hash of 64 bits, at which two of ten thousand ids collide once in 10^11 cases. */
-    long FNV_OFFSET_BASIS = 0xcbf29ce484222325L;
-    /** Multiplier of that hash. */
-    long FNV_PRIME = 0x100000001b3L;
-
     /** The roles known to a pooler that never has a second process: its router knows all there is. */
     PeerRoles NONE = new PeerRoles() {
         @Override
@@ -76,15 +72,6 @@
         }
     }
 
-    /** Returns the key of a member, a number other than 0 that follows from its id. */
-    static long keyOf(String memberId) {
-        long hash = FNV_OFFSET_BASIS;
-        for (int i = 0; i < memberId.length(); i++) {
-            hash = (hash ^ memberId.charAt(i)) * FNV_PRIME;
-        }
-        return hash == 0 ? 1 : hash;
-    }
-
     /** Takes over what the other processes have published since; cheap if called often. */
     void refresh(long nowUs);
 
--- a/decisions/src/test/java/frostreel/operation/SharedRoleTableTest.java
+++ b/decisions/src/test/java/frostreel/operation/SharedRoleTableTest.java
@@ -4,6 +4,7 @@
 
 import frostreel.routing.PeerRoles;
 import frostreel.routing.Router.Role;
+import frostreel.routing.StableHash;
 import java.util.Arrays;
 import java.util.SplittableRandom;
 import org.junit.jupiter.api.Test;
@@ -11,7 +12,7 @@
 /** Tests what processes that share the memory know of each other's evidence for roles. */
 class SharedRoleTableTest {
     private static final long NOW_US = 1_000_000_000;
-    private static final long MEMBER = PeerRoles.keyOf("s-5be2a07c");
+    private static final long MEMBER = StableHash.keyOf("s-5be2a07c");
     private static final long NONE = PeerRoles.NO_EVIDENCE;
     private final SharedMemoryArray memory = new SharedMemoryArray(SharedRoleTable.LONGS);
     private long lastIncarnation;
@@ -131,13 +132,13 @@
             int member = random.nextInt(members);
             replicaAtUs[member] = NOW_US + (i + 1) * SharedRoleTable.RENEWAL_INTERVAL_US;
             (random.nextBoolean() ? before : after)
-                    .publish(PeerRoles.keyOf("s-" + member), Role.REPLICA, replicaAtUs[member]);
+                    .publish(StableHash.keyOf("s-" + member), Role.REPLICA, replicaAtUs[member]);
         }
         PeerRoles.Evidence evidence = new PeerRoles.Evidence();
         int incomplete = 0;
         before.refresh(replicaAtUs[0] + SharedRoleTable.FULL_REFRESH_INTERVAL_US);
         for (int member = 0; member < members; member++) {
-            before.read(PeerRoles.keyOf("s-" + member), evidence);
+            before.read(StableHash.keyOf("s-" + member), evidence);
             incomplete += evidence.complete() ? 0 : 1;
             assertThat(evidence.primaryAtUs()).isEqualTo(NONE);
             assertThat(evidence.complete() && evidence.replicaAtUs() != replicaAtUs[member])
--- a/lab/src/test/java/frostreel/lab/processes/UpgradeRig.java
+++ b/lab/src/test/java/frostreel/lab/processes/UpgradeRig.java
@@ -231,15 +231,23 @@
             }
         }
 
-        private void send(String sql, String comment) throws IOException {
-            String id = Integer.toHexString(hashCode()) + "x" + ++requests;
+        private String nextId() {
+            return Integer.toHexString(hashCode()) + "x" + ++requests;
+        }
+
+        private void send(String id, String sql, String comment) throws IOException {
             client.getOutputStream()
                     .write(Messages.query((sql + " /* id=" + id + ",d=50000,cluster=2," + comment + " */\0")
                             .getBytes(StandardCharsets.US_ASCII)));
         }
 
         void sendWrite(String session) throws IOException {
-            send("INSERT INTO records (k, v) VALUES ('" + session + "', '\\x9f') RETURNING v", "c=post,k=5c0f");
+            sendWrite(session, nextId());
+        }
+
+        /** Sends a write with an id that another one may have had. */
+        void sendWrite(String session, String id) throws IOException {
+            send(id, "INSERT INTO records (k, v) VALUES ('" + session + "', '\\x9f') RETURNING v", "c=post,k=5c0f");
         }
 
         /** Writes, and returns the name of the server that answers. */
@@ -248,9 +256,20 @@
             return nextAnswer();
         }
 
+        /** As {@link #write(String)}, with an id that another write may have had. */
+        String write(String session, String id) throws IOException {
+            sendWrite(session, id);
+            return nextAnswer();
+        }
+
+        /** Closes the client's connection. */
+        void disconnectClient() throws IOException {
+            client.close();
+        }
+
         /** Reads what a session wrote, and returns the name of the server that answers. */
         String read(String session) throws IOException {
-            send("SELECT v FROM records WHERE k = '" + session + "'", "c=look");
+            send(nextId(), "SELECT v FROM records WHERE k = '" + session + "'", "c=look");
             return nextAnswer();
         }
 
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -7,6 +7,7 @@
 import frostreel.control.AdminListener;
 import frostreel.control.CommandExecutor;
 import frostreel.control.PeerProcessCommits;
+import frostreel.control.PeerProcessRequestIds;
 import frostreel.control.PeerProcessRoles;
 import frostreel.control.SharedClock;
 import frostreel.control.SupersededSettingsFile;
@@ -66,13 +67,15 @@
         PeerProcessCommits commits =
                 PeerProcessCommits.open(config, loop.clock().now(), isFirstProcess);
         PeerProcessRoles roles = PeerProcessRoles.open(config, loop, isFirstProcess);
+        PeerProcessRequestIds requestIds = PeerProcessRequestIds.open(config, loop);
         loop.onHeartbeat(nowUs -> {
             commits.onHeartbeat(nowUs, loop.worker());
             roles.onHeartbeat(nowUs);
+            requestIds.onHeartbeat(nowUs);
         });
         ServerPool pool = new ServerPool(loop, config.settings(), config.maxServerConnections());
         zonePolicy = zonePolicy(config, operatorSettings);
-        broker = broker(config, pool, commits, roles);
+        broker = broker(config, pool, commits, roles, requestIds);
         RequestClassRegistry classes =
                 new RequestClassRegistry(config.settings().classes());
         lifecycle = lifecycle(config, lingerUs);
@@ -132,7 +135,12 @@
                 new SplittableRandom(settings.seed()).nextDouble());
     }
 
-    private Broker broker(Config config, ServerPool pool, PeerProcessCommits commits, PeerProcessRoles roles) {
+    private Broker broker(
+            Config config,
+            ServerPool pool,
+            PeerProcessCommits commits,
+            PeerProcessRoles roles,
+            PeerProcessRequestIds requestIds) {
         return new Broker(
                 loop.clock(),
                 loop.deadlines(),
@@ -143,7 +151,8 @@
                 config.settings(),
                 config.maxOpenRequests(),
                 (settings, actions) -> router(settings, actions, commits, roles),
-                commits.writeObserver());
+                commits.writeObserver(),
+                requestIds.recentIds());
     }
 
     private Router router(
--- a/pooler/src/main/java/frostreel/broker/AttemptRunner.java
+++ b/pooler/src/main/java/frostreel/broker/AttemptRunner.java
@@ -110,6 +110,7 @@
         counters.attemptsStarted++;
         request.lastMemberId = memberId;
         request.lastSentUs = now;
+        requests.recordAttempt(request);
         if (request.isWrite()) {
             writeObserver.onSent(now, request.attributes.session(), request.attributes.deadlineUs());
         }
--- a/pooler/src/main/java/frostreel/broker/Broker.java
+++ b/pooler/src/main/java/frostreel/broker/Broker.java
@@ -1,6 +1,7 @@
 package frostreel.broker;
 
 import frostreel.log.EventLog;
+import frostreel.operation.RecentRequestIds;
 import frostreel.operation.WriteObserver;
 import frostreel.request.BackEnd;
 import frostreel.request.Payload;
@@ -64,7 +65,8 @@
                 settings,
                 maxRequests,
                 routerFactory,
-                WriteObserver.NONE);
+                WriteObserver.NONE,
+                RecentRequestIds.ofSingleProcess());
     }
 
     /**
@@ -73,6 +75,7 @@
      * @param buffers counts the memory of active requests
      * @param maxRequests the maximum number of active requests; more are rejected
      * @param writeObserver observes write attempts on behalf of the pooler's other processes
+     * @param recentIds the ids of requests that must not run again
      */
     public Broker(
             Clock clock,
@@ -84,14 +87,15 @@
             Router.Settings settings,
             int maxRequests,
             BiFunction<Router.Settings, Router.Actions, Router> routerFactory,
-            WriteObserver writeObserver) {
+            WriteObserver writeObserver,
+            RecentRequestIds recentIds) {
         this.clock = clock;
         this.deadlines = deadlines;
         this.counters = counters;
         this.log = log;
         this.backEnd = backEnd;
         this.settings = settings;
-        requests = new RequestTable(maxRequests, buffers);
+        requests = new RequestTable(maxRequests, buffers, recentIds);
         events = new EventQueue(counters);
         router = routerFactory.apply(settings, this);
         attempts = new AttemptRunner(
@@ -126,6 +130,15 @@
         return requests.containsClientRequestId(clientRequestId);
     }
 
+    /**
+     * Whether a request of this class with this id must not run, as one with the same id may have run before, through
+     * any process of the pooler.
+     */
+    public boolean mustNotRunAgain(String clientRequestId, int classIndex) {
+        Router.Idempotency idempotency = settings.classes().get(classIndex).idempotency();
+        return idempotency != Router.Idempotency.IDEMPOTENT && requests.mayHaveRun(clientRequestId);
+    }
+
     /**
      * Accepts or rejects a request. Its handler may be called before this method returns.
      *
--- a/pooler/src/main/java/frostreel/broker/RequestTable.java
+++ b/pooler/src/main/java/frostreel/broker/RequestTable.java
@@ -1,18 +1,22 @@
 package frostreel.broker;
 
+import frostreel.operation.RecentRequestIds;
+import frostreel.routing.Router;
 import frostreel.util.BufferMemory;
 import frostreel.util.SlotTable;
 import java.util.HashSet;
 import java.util.Set;
 
-/** Active requests by handle, and the ids that clients chose for them. Used only on the I/O thread. */
+/** Active requests by handle, and the ids that clients chose for them and for recent ones. For the I/O thread. */
 final class RequestTable {
     private final SlotTable<ActiveRequest> slots;
     private final BufferMemory buffers;
     private final Set<String> clientRequestIds = new HashSet<>();
+    private final RecentRequestIds recentIds;
 
     /** Creates a table for at most {@code capacity} requests, whose contents count towards {@code buffers}. */
-    RequestTable(int capacity, BufferMemory buffers) {
+    RequestTable(int capacity, BufferMemory buffers, RecentRequestIds recentIds) {
+        this.recentIds = recentIds;
         slots = new SlotTable<>(capacity);
         this.buffers = buffers;
     }
@@ -50,6 +54,18 @@
         return clientRequestIds.contains(clientRequestId);
     }
 
+    /** Records that an attempt of the request is about to start; ids of idempotent requests need not be remembered. */
+    void recordAttempt(ActiveRequest request) {
+        if (request.requestClass.idempotency() != Router.Idempotency.IDEMPOTENT) {
+            recentIds.add(request.attributes.id());
+        }
+    }
+
+    /** Whether a request with this id may have run, here or in another process of the pooler. */
+    boolean mayHaveRun(String clientRequestId) {
+        return recentIds.contains(clientRequestId);
+    }
+
     /** Removes the request if it is closed and has no attempt in flight. */
     void removeIfDone(ActiveRequest request) {
         if (request.closed && !request.hasAttemptInFlight()) {
--- a/pooler/src/main/java/frostreel/control/PeerProcessRoles.java
+++ b/pooler/src/main/java/frostreel/control/PeerProcessRoles.java
@@ -6,7 +6,6 @@
 import frostreel.routing.PeerRoles;
 import java.io.IOException;
 import java.nio.file.Path;
-import java.util.concurrent.RejectedExecutionException;
 import java.util.logging.Logger;
 
 /**
@@ -17,26 +16,22 @@
 public final class PeerProcessRoles {
     private static final Logger LOG = Logger.getLogger(PeerProcessRoles.class.getName());
 
-    private final EventLoop loop;
     private final PeerRoles peerRoles;
-    /** Null, like {@link #storage}, if roles are not shared. */
+    /** Null, like {@link #fileCheck}, if roles are not shared. */
     private final SharedRoleTable table;
 
-    private final SharedTableChannel storage;
-    private boolean isCheckingFile;
+    private final SharedTableCheck fileCheck;
 
-    private PeerProcessRoles(EventLoop loop, PeerRoles withoutTable) {
-        this.loop = loop;
+    private PeerProcessRoles(PeerRoles withoutTable) {
         peerRoles = withoutTable;
         table = null;
-        storage = null;
+        fileCheck = null;
     }
 
-    private PeerProcessRoles(EventLoop loop, SharedRoleTable table, SharedTableChannel storage) {
-        this.loop = loop;
+    private PeerProcessRoles(SharedRoleTable table, SharedTableCheck fileCheck) {
         peerRoles = table;
         this.table = table;
-        this.storage = storage;
+        this.fileCheck = fileCheck;
     }
 
     /**
@@ -46,7 +41,7 @@
      */
     public static PeerProcessRoles open(Config config, EventLoop loop, boolean isFirstProcess) {
         if (!config.inheritsListener()) {
-            return new PeerProcessRoles(loop, PeerRoles.NONE);
+            return new PeerProcessRoles(PeerRoles.NONE);
         }
         return SharedFile.open(config, loop, isFirstProcess);
     }
@@ -71,10 +66,10 @@
                 long strangersUntilUs = hasNoPeers ? nowUs : nowUs + SharedTableFile.STRANGERS_SERVE_US;
                 long incarnation = SharedTableFile.newIncarnation();
                 SharedRoleTable table = new SharedRoleTable(storage, incarnation, nowUs, strangersUntilUs);
-                return new PeerProcessRoles(loop, table, storage);
+                return new PeerProcessRoles(table, new SharedTableCheck(loop, storage));
             } catch (IOException | UnsupportedOperationException e) { // The latter without hard links.
                 warn(e.toString());
-                return new PeerProcessRoles(loop, PeerRoles.UNKNOWN);
+                return new PeerProcessRoles(PeerRoles.UNKNOWN);
             }
         }
 
@@ -92,48 +87,7 @@
     public void onHeartbeat(long nowUs) {
         if (table != null) {
             table.onHeartbeat(nowUs);
-            checkFile();
-        }
-    }
-
-    /** Looks on the task thread whether the file is still the one that other processes open. */
-    private void checkFile() {
-        if (isCheckingFile) {
-            return;
-        }
-        isCheckingFile = true;
-        SharedTableChannel.OpenFile inUse = storage.file();
-        try {
-            loop.worker().execute(() -> checkFile(inUse));
-        } catch (RejectedExecutionException workerEnded) {
-            LOG.fine("the worker has ended; the file of roles is no longer checked");
-        }
-    }
-
-    private void checkFile(SharedTableChannel.OpenFile inUse) {
-        SharedTableChannel.OpenFile current = inUse;
-        try {
-            current = storage.reopenIfReplaced(inUse);
-        } catch (IOException | UnsupportedOperationException e) {
-            LOG.fine("the file of roles cannot be opened again: " + e);
-        }
-        SharedTableChannel.OpenFile result = current;
-        try {
-            loop.thread().execute(() -> use(result));
-        } catch (RejectedExecutionException loopEnded) {
-            LOG.fine("the event loop has ended; the file of roles is no longer used");
-        }
-    }
-
-    private void use(SharedTableChannel.OpenFile file) {
-        isCheckingFile = false;
-        if (!file.equals(storage.file())) {
-            LOG.warning("the file of roles was damaged or replaced; written anew");
-        }
-        try {
-            storage.use(file);
-        } catch (IOException e) {
-            LOG.fine("closing the former file of roles: " + e);
+            fileCheck.start();
         }
     }
 }
--- a/pooler/src/main/java/frostreel/control/package-info.java
+++ b/pooler/src/main/java/frostreel/control/package-info.java
@@ -8,9 +8,9 @@
  * frostreel.control.CommandStore}, and an {@link frostreel.control.AdminResponse} is sent back.
  *
  * <p>Owns the admin socket, the commands and the files under the command folder. Everything runs on the I/O thread,
- * except {@code CommandStore}, which blocks and runs on the worker's task thread; {@code SharedClock}, {@code
- * PeerProcessCommits} and {@code PeerProcessRoles} are opened before the loop starts. Depends on {@code
- * frostreel.operation} for the rules, on {@code net} for the loop, and on {@code backend} and {@code broker} to publish
- * endpoints.
+ * except {@code CommandStore}, which blocks and runs on the worker's task thread; {@code SharedClock} and the tables
+ * that the processes share ({@code PeerProcessCommits}, {@code PeerProcessRoles}, {@code PeerProcessRequestIds}) are
+ * opened before the loop starts. Depends on {@code frostreel.operation} for the rules, on {@code net} for the loop, and
+ * on {@code backend} and {@code broker} to publish endpoints.
  */
 package frostreel.control;
--- a/pooler/src/main/java/frostreel/frontend/QueryHandler.java
+++ b/pooler/src/main/java/frostreel/frontend/QueryHandler.java
@@ -102,6 +102,8 @@
             onInvalidQuery("a class that the settings do not name, or a statement that is none of its class");
         } else if (frontEnd.broker().isActive(statement.id())) {
             onInvalidQuery("the id of a request that is open"); // Forwarded, it would be a hedged request.
+        } else if (frontEnd.broker().mustNotRunAgain(statement.id(), requestClass)) {
+            onInvalidQuery("the id of a request that may have run");
         } else {
             onRequest(statement, requestClass);
         }
--- a/pooler/src/test/java/frostreel/broker/RequestTableTest.java
+++ b/pooler/src/test/java/frostreel/broker/RequestTableTest.java
@@ -2,6 +2,7 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import frostreel.operation.RecentRequestIds;
 import frostreel.request.FixedPayload;
 import frostreel.request.RequestAttributes;
 import frostreel.util.BufferMemory;
@@ -13,7 +14,7 @@
     private static final long ATTEMPT = 7;
     private static final int PAYLOAD_BYTES = 1000;
     private final BufferMemory buffers = new BufferMemory(Long.MAX_VALUE);
-    private final RequestTable requests = new RequestTable(1, buffers);
+    private final RequestTable requests = new RequestTable(1, buffers, RecentRequestIds.ofSingleProcess());
 
     private static ActiveRequest request(String clientRequestId) {
         RequestAttributes attributes = new RequestAttributes(clientRequestId, 0, 0, 0, 0, 0, false);
