Let reads find a primary that no process shares, instead of refusing them

What callers saw: in an upgrade from a version that does not share roles, where the list names a former primary, a session's read was not stale any more, but refused after 1.1 s.

Cause: the listed member's response was dropped, and nothing but a write or a read that any member may serve finds another primary where servers send no reports.

Change: where a pooler may have other processes, one read of a group at a time walks the chain while the primary is not known; the response has to show the role or the position. After a round in vain the group pauses for half a second.

PeerRolesTest, two new tests.

--- a/decisions/src/main/java/frostreel/routing/ChainRouter.java
+++ b/decisions/src/main/java/frostreel/routing/ChainRouter.java
@@ -198,6 +198,8 @@
             return;
         }
         request.currentMember = null;
+        request.group.readWithoutProofInFlight &= !request.sentWithoutProof;
+        request.sentWithoutProof = false;
         request.countsForGoodput = outcome == Outcome.OK || outcome == Outcome.REJECTED || outcome == Outcome.TIMEOUT;
         attemptRecorder.recordOutcome(nowUs, request, member, outcome, tookUs, role, positionUs, report);
         if (!outcome.provesNotRun) {
@@ -266,7 +268,7 @@
         }
         MemberState member = request.currentMember;
         components.primaryTracker.mergePeerRoles(nowUs, request.group);
-        if (!freshness.isFreshEnough(nowUs, request, member)) {
+        if (!request.sentWithoutProof && !freshness.isFreshEnough(nowUs, request, member)) {
             return false;
         }
         freshness.recordRequirement(nowUs, request, member);
@@ -321,8 +323,8 @@
     /**
      * Checks the rules for an attempt. A request has at most one attempt in flight, none after its deadline or its
      * last permitted attempt, and none after one that may have run unless it may be retried. The member must be usable
-     * by the endpoint list, belong to the group, have slow-start budget left, be fresh enough, and be in a zone that
-     * knows the request's idempotency key.
+     * by the endpoint list, belong to the group, have slow-start budget left, be fresh enough unless the response is to
+     * show that, and be in a zone that knows the request's idempotency key.
      */
     private boolean mayBeSent(long nowUs, PendingRequest request, MemberState member) {
         return !request.ended
@@ -331,7 +333,7 @@
                 && member.groupNumber == request.group.number
                 && !retryPolicy.isExhausted(nowUs, request)
                 && slowStart.admits(nowUs, member.slowStart, request.classIndex())
-                && freshness.isFreshEnough(nowUs, request, member)
+                && (request.sentWithoutProof || freshness.isFreshEnough(nowUs, request, member))
                 && request.mayGoToZone(member.zone);
     }
 
--- a/decisions/src/main/java/frostreel/routing/GroupState.java
+++ b/decisions/src/main/java/frostreel/routing/GroupState.java
@@ -37,6 +37,11 @@
     /** Time of the last trial request to a suspected primary. */
     long lastTrialUs;
 
+    /** Whether a read is in flight to a member that is not known to be fresh enough, as the primary is not known. */
+    boolean readWithoutProofInFlight;
+    /** Time before which no further such read is sent. */
+    long noReadWithoutProofBeforeUs;
+
     /** The replica for this group's long-running reads. */
     MemberState longQueryReplica;
     /** Time of the last health check for a read that needs a fresh replica, or {@link #NO_FRESHNESS_CHECK}. */
--- a/decisions/src/main/java/frostreel/routing/PendingRequest.java
+++ b/decisions/src/main/java/frostreel/routing/PendingRequest.java
@@ -32,6 +32,11 @@
 
     int attempts;
     long sentAtUs;
+    /**
+     * Whether the current attempt was sent to a member that is not known to have the required position, so that only
+     * its response can show that it has, or that it is the primary.
+     */
+    boolean sentWithoutProof;
     /** Position that the response to the current attempt has to prove, or {@link Router#NO_POSITION} for none. */
     long unprovenPositionUs = Router.NO_POSITION;
     /** Start time of the current member at the time when the attempt was charged to its slow start. */
--- a/decisions/src/main/java/frostreel/routing/PrimaryTracker.java
+++ b/decisions/src/main/java/frostreel/routing/PrimaryTracker.java
@@ -31,9 +31,14 @@
         apply(group, member, role, atUs, evidence);
     }
 
+    /** Whether the pooler may have other processes, which may know members' roles better than the endpoint list. */
+    boolean mayHavePeers() {
+        return peerRoles != PeerRoles.NONE;
+    }
+
     /** Takes over what the other processes of the pooler have been told about the members of a group. */
     void mergePeerRoles(long nowUs, GroupState group) {
-        if (peerRoles == PeerRoles.NONE) {
+        if (!mayHavePeers()) {
             return;
         }
         peerRoles.refresh(nowUs);
--- a/decisions/src/main/java/frostreel/routing/ReplicaSelector.java
+++ b/decisions/src/main/java/frostreel/routing/ReplicaSelector.java
@@ -25,6 +25,8 @@
     private static final int HEALTH_CHECK_WAIT_DIVISOR = 10;
     /** Lower limit of that wait in ticks of the clock: a response is not noticed any earlier. */
     private static final int MIN_WAIT_TICKS = 2;
+    /** Interval, in microseconds, between two rounds of reads to members that may not be fresh enough. */
+    private static final long UNPROVEN_ROUND_US = 500_000;
     /** Delay in microseconds before a read that was tried on all members is tried on them again. */
     private static final long RETRY_ROUND_DELAY_US = 50_000;
 
@@ -75,7 +77,7 @@
         if (awaitsHealthCheck(nowUs, request)) {
             return ReadDecision.WAIT;
         }
-        if (scan.requiredReplica == null && sendToPrimary(nowUs, request)) {
+        if (scan.requiredReplica == null && (sendToPrimary(nowUs, request) || sendWithoutProof(nowUs, request))) {
             return ReadDecision.SENT;
         }
         if (scan.isDeniedByPolicyOnly()) {
@@ -243,13 +245,38 @@
 
     private boolean sendToPrimary(long nowUs, PendingRequest request) {
         GroupState group = request.group;
-        MemberState primary = group.primary;
-        return primary != null
+        return group.primary != null
                 && !group.primarySuspected
-                && !request.triedMembers.contains(primary)
-                && primary.window.hasRoom(nowUs, primary.inFlight, PRIMARY_READ_SHARE)
-                && localityPolicy.costFactor(nowUs, primary.localityHandle) != LocalityPolicy.EXCLUDED
-                && localityPolicy.admits(nowUs, primary.localityHandle, request.classIndex())
-                && send(nowUs, request, primary);
+                && !request.triedMembers.contains(group.primary)
+                && hasRoomForReads(nowUs, request, group.primary)
+                && send(nowUs, request, group.primary);
+    }
+
+    private boolean hasRoomForReads(long nowUs, PendingRequest request, MemberState member) {
+        return member.window.hasRoom(nowUs, member.inFlight, PRIMARY_READ_SHARE)
+                && localityPolicy.costFactor(nowUs, member.localityHandle) != LocalityPolicy.EXCLUDED
+                && localityPolicy.admits(nowUs, member.localityHandle, request.classIndex());
+    }
+
+    /**
+     * Sends a read along the failover chain while the primary is not known; its response shows whether the member could
+     * serve it. One read of a group at a time, and one round of the chain in {@link #UNPROVEN_ROUND_US}, as each may be
+     * in vain. Only where another process may have known the primary: otherwise a write finds it, or the list names it.
+     */
+    private boolean sendWithoutProof(long nowUs, PendingRequest request) {
+        GroupState group = request.group;
+        boolean isDue = !group.readWithoutProofInFlight && nowUs >= group.noReadWithoutProofBeforeUs;
+        if (!isDue || group.primary != null || !primaryTracker.mayHavePeers()) {
+            return false;
+        }
+        MemberState member = primarySearch.nextCandidate(request);
+        if (member == null) {
+            group.noReadWithoutProofBeforeUs = nowUs + UNPROVEN_ROUND_US;
+            return false;
+        }
+        request.sentWithoutProof = true;
+        group.readWithoutProofInFlight = hasRoomForReads(nowUs, request, member) && send(nowUs, request, member);
+        request.sentWithoutProof = group.readWithoutProofInFlight;
+        return group.readWithoutProofInFlight;
     }
 }
--- a/decisions/src/test/java/frostreel/routing/PeerRolesTest.java
+++ b/decisions/src/test/java/frostreel/routing/PeerRolesTest.java
@@ -14,6 +14,7 @@
 import frostreel.routing.Router.ListRole;
 import frostreel.routing.Router.Outcome;
 import frostreel.routing.Router.Role;
+import java.util.List;
 import org.junit.jupiter.api.Test;
 
 /** Two processes of one pooler in an upgrade: what either is told about a member's role counts for both. */
@@ -120,6 +121,38 @@
         assertThat(before.mayServe("fresh", Role.PRIMARY, 0)).isTrue();
     }
 
+    /** Guards against refused reads of a successor that knows a wrong list and nothing else. */
+    @Test
+    void readWalksTheChainToThePrimaryThatNobodyKnows() {
+        assertReadGoesTo("a", before, "read");
+        before.complete("read", Outcome.WRONG_ROLE_OR_STALE, Role.REPLICA, before.nowUs - DEADLINE_IN_US);
+        assertThat(before.lastAttempt("read").member()).isEqualTo("b");
+        assertThat(before.mayStillBegin("read")).isTrue();
+        assertThat(before.mayServe("read", Role.UNKNOWN, 0)).isFalse();
+        assertThat(before.mayServe("read", Role.REPLICA, before.nowUs - WRITTEN_US))
+                .isFalse();
+        before.submit("second", SESSION_READ, WRITTEN_US, DEADLINE_IN_US);
+        assertThat(before.lastAttempt("second")).as("one at a time").isNull();
+        before.complete("read", Outcome.WRONG_ROLE_OR_STALE, Role.REPLICA, before.nowUs - DEADLINE_IN_US);
+        assertThat(before.lastAttempt("read").member()).isEqualTo("c");
+        assertThat(before.mayServe("read", Role.PRIMARY, 0)).isTrue();
+        before.complete("read", Outcome.OK, Role.PRIMARY, 0);
+        assertThat(before.lastAttempt("second").member()).isEqualTo("c");
+    }
+
+    @Test
+    void readsWithoutProofPauseAfterARoundInVain() {
+        assertReadGoesTo("a", before, "read");
+        for (String member : List.of("a", "b", "c")) {
+            assertThat(before.lastAttempt("read").member()).isEqualTo(member);
+            before.complete("read", Outcome.WRONG_ROLE_OR_STALE, Role.REPLICA, before.nowUs - DEADLINE_IN_US);
+        }
+        before.advance(400_000);
+        assertThat(before.attemptCount("read")).isEqualTo(3);
+        before.advance(200_000);
+        assertThat(before.attemptCount("read")).isEqualTo(4);
+    }
+
     /** A response that is forwarded as it arrives cannot show its role before its end. */
     @Test
     void responseWithoutARoleIsPassedOnOnlyIfAllProcessesAreKnownToTakeItsMemberForThePrimary() {
