--- a/pooler/src/test/java/frostreel/HandoverTest.java
+++ b/pooler/src/test/java/frostreel/PeerProcessCommitsTest.java
@@ -20,7 +20,7 @@
 import org.junit.jupiter.params.provider.EnumSource;
 
 /** The table of recent commits that two processes of one pooler share by mapping the same file. */
-class HandoverTest {
+class PeerProcessCommitsTest {
     private static final long NOW_US = 1_000_000_000;
     private static final long SESSION = 7;
     private static final String CARRIED = PoolerHarness.configuration("127.0.0.1:1");
@@ -56,13 +56,13 @@
         return process.peerCommits().requiredPositionUs(NOW_US + 50_000, SESSION);
     }
 
-    /** Checks that reads require every commit of other processes that may count as known. */
+    /** Checks that a read requires any commit of other processes whose response a client may have. */
     private void assertPeersUnknown(PeerProcessCommits process) {
         assertThat(requiredPositionUs(process)).as("required position").isEqualTo(NOW_US - 50_000);
     }
 
     @Test
-    void commitsOfEachProcessBindTheOther() throws Exception {
+    void readsRequireCommitsThroughTheOtherProcess() throws Exception {
         PeerProcessCommits before = open();
         PeerProcessCommits after = open();
         assertThat(List.of(requiredPositionUs(before), requiredPositionUs(after)))
@@ -78,7 +78,7 @@
     }
 
     @Test
-    void noFileWithoutPeerProcessOrSessionTracking() throws Exception {
+    void noFileWithoutPeerProcessOrIfClientsCarryPositions() throws Exception {
         for (PeerProcessCommits alone : List.of(open(REMEMBERED, ""), open(CARRIED, "0"))) {
             write(alone, NOW_US);
             assertThat(requiredPositionUs(alone)).isZero();
--- a/pooler/src/test/java/frostreel/control/ProcessWithoutCommitTableTest.java
+++ b/pooler/src/test/java/frostreel/control/ProcessWithoutCommitTableTest.java
@@ -16,7 +16,7 @@
 /**
  * A process of a version without the commit table shares the folder with newer processes. Commands are exchanged in
  * both directions, and the newer processes know each other's commits. How they read beside the old process is tested by
- * {@code HandoverTest}.
+ * {@code PeerProcessCommitsTest}.
  */
 class ProcessWithoutCommitTableTest {
     private static final long NOW_US = 1_000_000_000;
