--- a/decisions/src/main/java/frostreel/routing/ChainRouter.java
+++ b/decisions/src/main/java/frostreel/routing/ChainRouter.java
@@ -289,10 +289,10 @@
     @Override
     public boolean mayServe(long nowUs, String requestId, Role role, long positionUs) {
         PendingRequest request = requests.get(requestId);
-        if (request == null || request.currentMember == null) {
-            return true;
-        }
-        if (freshness.provesFresh(request, role, positionUs)) {
+        boolean isUnknown = request == null || request.currentMember == null;
+        if (isUnknown
+                || !components.primaryTracker.mayHavePeers()
+                || freshness.provesFresh(request, role, positionUs)) {
             return true;
         }
         components.primaryTracker.mergePeerRoles(nowUs, request.group);
--- a/decisions/src/main/java/frostreel/routing/Router.java
+++ b/decisions/src/main/java/frostreel/routing/Router.java
@@ -297,7 +297,8 @@
     /**
      * Whether the response to the current attempt of a request may be passed on to its client. Called before that; if
      * not, the response is dropped, since its data may be too old, and the attempt ends without having served the
-     * request. For a response that is passed on before its end, role and position are not known yet.
+     * request. Always in a pooler that never has a second process: what it was told is all that counts there. For a
+     * response that is passed on before its end, role and position are not known yet.
      *
      * @param role the role that the member reported, or UNKNOWN
      * @param positionUs the position that the member reported, or {@link #NO_POSITION}
--- a/pooler/src/main/java/frostreel/control/PeerProcessCommits.java
+++ b/pooler/src/main/java/frostreel/control/PeerProcessCommits.java
@@ -24,7 +24,7 @@
 
     private final WriteObserver writeObserver;
     private final PeerCommits peerCommits;
-    /** Looks whether the file is still in place. */
+    /** Looks whether the file is still in place; null if there is none. */
     private final Runnable fileCheck;
 
     private PeerProcessCommits(WriteObserver writeObserver, PeerCommits peerCommits, Runnable fileCheck) {
@@ -40,7 +40,7 @@
      */
     public static PeerProcessCommits open(Config config, long nowUs, boolean isFirstProcess) {
         if (!config.inheritsListener() || config.settings().sessionTracking() != Router.SessionTracking.REMEMBERED) {
-            return new PeerProcessCommits(WriteObserver.NONE, PeerCommits.NONE, () -> {});
+            return new PeerProcessCommits(WriteObserver.NONE, PeerCommits.NONE, null);
         }
         return SharedFile.open(config, nowUs, isFirstProcess);
     }
@@ -62,6 +62,9 @@
      */
     public void onHeartbeat(long nowUs, Executor blockingTasks) {
         writeObserver.onHeartbeat(nowUs);
+        if (fileCheck == null) {
+            return;
+        }
         try {
             blockingTasks.execute(fileCheck);
         } catch (RejectedExecutionException ended) {
@@ -100,7 +103,7 @@
                 return new PeerProcessCommits(table, commits, new SharedFile(identity, commits)::check);
             } catch (IOException | UnsupportedOperationException e) { // The latter without hard links.
                 warn(e.toString());
-                return new PeerProcessCommits(WriteObserver.NONE, SharedCommitTable.UNKNOWN_PEER_COMMITS, () -> {});
+                return new PeerProcessCommits(WriteObserver.NONE, SharedCommitTable.UNKNOWN_PEER_COMMITS, null);
             }
         }
 
