--- a/decisions/src/test/java/frostreel/operation/SharedMemoryArray.java
+++ b/decisions/src/test/java/frostreel/operation/SharedMemoryArray.java
@@ -1,29 +1,10 @@
 package frostreel.operation;
 
 /** Shared memory in an array, for several tables of one test. */
-public final class SharedMemoryArray implements SharedMemoryLongs, SharedTableStorage {
-    final long[] values;
-
+public final class SharedMemoryArray extends TableCopy implements SharedTableStorage {
     /** Creates memory of this many longs, all 0. */
     public SharedMemoryArray(int length) {
-        values = new long[length];
-    }
-
-    @Override
-    public long get(int index) {
-        return values[index];
-    }
-
-    @Override
-    public void set(int index, long value) {
-        values[index] = value;
-    }
-
-    @Override
-    public boolean compareAndSet(int index, long expected, long newValue) {
-        boolean same = values[index] == expected;
-        values[index] = same ? newValue : expected;
-        return same;
+        super(length);
     }
 
     @Override
