Let the poll of PeerMemoryTest begin before the test replaces its agent's script

Trace: the log has "response timed out" 4.0 s after the start, which is the length of a poll, 2.5 s, and its time-out, 1.5 s, so one poll got no answer at all. The test replaces the agent's script when the pooler is ready, and its comment takes for granted that the poll has begun. Where it comes later, the new script answers that poll, the list meant for it stays in the queue, and the third list never comes. By the log and by reading; not provoked.

The test now waits until the agent has received the poll.

--- a/pooler/src/test/java/frostreel/PeerMemoryTest.java
+++ b/pooler/src/test/java/frostreel/PeerMemoryTest.java
@@ -224,6 +224,9 @@
     void discoveryResponseIsCountedUntilItIsComplete() throws Exception {
         CountDownLatch mayComplete = new CountDownLatch(1);
         start();
+        while (!harness.discovery.next().contains("wait=2500")) { // Else the poll may get the script below.
+            Thread.onSpinWait();
+        }
         String list = PoolerHarness.list(2, false) + " ".repeat(LONG_LIST_BYTES);
         byte[] response = TestMessages.http(list);
         harness.discovery.script = (text, link) -> {
