Write the clock's file again when it is removed, so that no later process seems the first

Cause: a process takes itself for the first one if there is no file of the clock, and is then not careful for lack of commits. The old process looked after its other files, not after that one.

PeerProcesses holds what the processes share, which Pooler passed on in three parts.

--- a/lab/src/test/java/frostreel/lab/processes/RoleHandoverTest.java
+++ b/lab/src/test/java/frostreel/lab/processes/RoleHandoverTest.java
@@ -62,6 +62,24 @@
         former.becomePrimary();
         assertThat(before.write("7f3b")).isEqualTo("former");
         assertThat(after.read("7f3b")).as("told to the old one").isEqualTo("former");
+        former.becomeReplica();
+        current.becomePrimary();
+        before.terminate();
+        assertThat(before.write("7f3c")).isEqualTo("present");
+        assertThat(after.read("7f3c")).as("told to the old one while it ends").isEqualTo("present");
+    }
+
+    /** Guards against reads and writes that a new pooler sends by what a dead one knew. */
+    @Test
+    void whatADeadPoolerKnewYieldsToWhatServersSay() throws Exception {
+        PoolerAndClient dead = rig.startPooler();
+        assertThat(dead.write("7f3a")).isEqualTo("present");
+        dead.kill();
+        current.becomeReplica();
+        former.becomePrimary();
+        PoolerAndClient next = rig.startPooler();
+        assertThat(next.read("7f3a")).isEqualTo("former");
+        assertThat(next.write("7f3b")).isEqualTo("former");
     }
 
     private enum Damage {
--- a/lab/src/test/java/frostreel/lab/processes/UpgradeRig.java
+++ b/lab/src/test/java/frostreel/lab/processes/UpgradeRig.java
@@ -34,6 +34,7 @@
             {"name":"post","deadlineS":60,"onTimeS":50,"repeat":"dedup","group":"cell","repeatWindowS":3}],
             "familyInfo":{"freshness":["session","write"],"listRole":"start","positions":true,
             "serverChecks":"silent","writeMarks":"remembered"},"rules":{}}}""";
+    private static final String HOST = "{'site':'dc','class':'m','block':2,'health':'Ready','share':1.0}";
     private static final String PRIMARY = "primary";
     private static final String REPLICA = "replica";
     private static final String NOT_PRIMARY = "25006";
@@ -125,23 +126,10 @@
                 daemon(() -> server.serve(connection));
             }
         });
-        hosts.put(new JSONObject(Map.of(
-                "host",
-                name,
-                "dial",
-                "127.0.0.1:" + listener.getLocalPort(),
-                "site",
-                "dc",
-                "class",
-                "m",
-                "block",
-                2,
-                "health",
-                "Ready",
-                "share",
-                1.0,
-                "role",
-                isListedAsPrimary ? PRIMARY : REPLICA)));
+        hosts.put(new JSONObject(HOST)
+                .put("host", name)
+                .put("dial", "127.0.0.1:" + listener.getLocalPort())
+                .put("role", isListedAsPrimary ? PRIMARY : REPLICA));
         return server;
     }
 
@@ -273,6 +261,11 @@
             return nextAnswer();
         }
 
+        /** Asks the process to end, by SIGTERM. */
+        void terminate() {
+            process.destroy();
+        }
+
         /** Kills the process. */
         void kill() {
             process.destroyForcibly();
--- a/pooler/src/main/java/frostreel/Pooler.java
+++ b/pooler/src/main/java/frostreel/Pooler.java
@@ -6,9 +6,7 @@
 import frostreel.config.SupersededSettings;
 import frostreel.control.AdminListener;
 import frostreel.control.CommandExecutor;
-import frostreel.control.PeerProcessCommits;
-import frostreel.control.PeerProcessRequestIds;
-import frostreel.control.PeerProcessRoles;
+import frostreel.control.PeerProcesses;
 import frostreel.control.SharedClock;
 import frostreel.control.SupersededSettingsFile;
 import frostreel.frontend.Listener;
@@ -64,18 +62,11 @@
         Path sharedFolder = config.commandFolder().orElse(null);
         boolean isFirstProcess = SharedClock.isFirstProcess(sharedFolder);
         loop = new EventLoop(SharedClock.open(sharedFolder));
-        PeerProcessCommits commits =
-                PeerProcessCommits.open(config, loop.clock().now(), isFirstProcess);
-        PeerProcessRoles roles = PeerProcessRoles.open(config, loop, isFirstProcess);
-        PeerProcessRequestIds requestIds = PeerProcessRequestIds.open(config, loop);
-        loop.onHeartbeat(nowUs -> {
-            commits.onHeartbeat(nowUs, loop.worker());
-            roles.onHeartbeat(nowUs);
-            requestIds.onHeartbeat(nowUs);
-        });
+        PeerProcesses peers = PeerProcesses.open(config, loop, isFirstProcess);
+        loop.onHeartbeat(peers::onHeartbeat);
         ServerPool pool = new ServerPool(loop, config.settings(), config.maxServerConnections());
         zonePolicy = zonePolicy(config, operatorSettings);
-        broker = broker(config, pool, commits, roles, requestIds);
+        broker = broker(config, pool, peers);
         RequestClassRegistry classes =
                 new RequestClassRegistry(config.settings().classes());
         lifecycle = lifecycle(config, lingerUs);
@@ -135,12 +126,7 @@
                 new SplittableRandom(settings.seed()).nextDouble());
     }
 
-    private Broker broker(
-            Config config,
-            ServerPool pool,
-            PeerProcessCommits commits,
-            PeerProcessRoles roles,
-            PeerProcessRequestIds requestIds) {
+    private Broker broker(Config config, ServerPool pool, PeerProcesses peers) {
         return new Broker(
                 loop.clock(),
                 loop.deadlines(),
@@ -150,15 +136,14 @@
                 pool,
                 config.settings(),
                 config.maxOpenRequests(),
-                (settings, actions) -> router(settings, actions, commits, roles),
-                commits.writeObserver(),
-                requestIds.recentIds());
+                (settings, actions) -> router(settings, actions, peers),
+                peers.writeObserver(),
+                peers.recentIds());
     }
 
-    private Router router(
-            Router.Settings settings, Router.Actions actions, PeerProcessCommits commits, PeerProcessRoles roles) {
+    private Router router(Router.Settings settings, Router.Actions actions, PeerProcesses peers) {
         LocalityPolicy policy = zonePolicy == null ? new NearestZonePolicy(settings.zone()) : zonePolicy;
-        return new ChainRouter(settings, actions, policy, commits.peerCommits(), roles.peerRoles());
+        return new ChainRouter(settings, actions, policy, peers.commits(), peers.roles());
     }
 
     private Listener listener(Config config, RequestClassRegistry classes) {
--- a/pooler/src/main/java/frostreel/control/SharedClock.java
+++ b/pooler/src/main/java/frostreel/control/SharedClock.java
@@ -54,6 +54,15 @@
         return folder != null && Files.notExists(folder.resolve(FILE_NAME));
     }
 
+    /**
+     * Stores a clock that is in use again if its file is missing or damaged, so that a later process joins it and does
+     * not take itself for the first one. Blocks.
+     */
+    static void restore(Path folder, Clock inUse) throws IOException {
+        String bootId = Files.readString(BOOT_ID_FILE).strip();
+        sharedOffsetUs(folder, bootId, inUse.now() - monotonicUs());
+    }
+
     private static long monotonicUs() {
         return System.nanoTime() / NANOS_PER_MICRO;
     }
--- a/pooler/src/test/java/frostreel/broker/BrokerTest.java
+++ b/pooler/src/test/java/frostreel/broker/BrokerTest.java
@@ -13,6 +13,7 @@
 import frostreel.time.Deadlines;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.function.Function;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
@@ -108,38 +109,15 @@
     void cancellingAnAttemptThatHasEndedKeepsItsOutcome() {
         List<Router.Outcome> outcomes = new ArrayList<>();
         EndingBackEnd backEnd = new EndingBackEnd();
-        Broker broker = new Broker(
-                () -> nowUs, deadlines, new Counters(), backEnd, settings(0), 16, (given, actions) -> new IdleRouter() {
-                    @Override
-                    public void onRequest(long atUs, Request request) {
-                        actions.send(request.id(), "a", DEADLINE_US);
-                    }
-
-                    @Override
-                    public void onMembers(long atUs, ListKind kind, List<Member> members) {
-                        if (kind == ListKind.CHANGES) {
-                            actions.cancel(backEnd.requestId, 0); // Runs after this event.
-                            backEnd.end(Outcome.RESET); // Its event is queued behind that.
-                        }
-                    }
-
-                    @Override
-                    public void onOutcome(
-                            long atUs,
-                            String requestId,
-                            int attempt,
-                            String memberId,
-                            Outcome outcome,
-                            boolean closed,
-                            long tookUs,
-                            Role role,
-                            long positionUs,
-                            Report report) {
-                        outcomes.add(outcome);
-                    }
-                });
-        broker.updateMembers(
-                Router.ListKind.FULL, List.of(new Router.Member("a", 0, 0, 2, true, Router.State.UP, 1, 0)));
+        Broker broker = broker(backEnd, new Counters(), actions -> new SendingRouter(actions, outcomes) {
+            @Override
+            public void onMembers(long atUs, ListKind kind, List<Member> members) {
+                if (kind == ListKind.CHANGES) {
+                    actions.cancel(backEnd.requestId, 0); // Runs after this event.
+                    backEnd.end(Outcome.RESET); // Its event is queued behind that.
+                }
+            }
+        });
         submit(broker, "1");
 
         broker.updateMembers(Router.ListKind.CHANGES, List.of());
@@ -147,12 +125,12 @@
         assertThat(outcomes).containsExactly(Router.Outcome.RESET);
     }
 
-    /** A router that sends each request once, lets no response pass, and records outcomes. */
-    private static final class DistrustfulRouter extends IdleRouter {
+    /** A router that sends each request once, records outcomes, and fails requests that are still open. */
+    private static class SendingRouter extends IdleRouter {
         private final Actions actions;
         private final List<Outcome> outcomes;
 
-        DistrustfulRouter(Actions actions, List<Outcome> outcomes) {
+        SendingRouter(Actions actions, List<Outcome> outcomes) {
             this.actions = actions;
             this.outcomes = outcomes;
         }
@@ -162,11 +140,6 @@
             actions.send(request.id(), "a", DEADLINE_US);
         }
 
-        @Override
-        public boolean mayServe(long nowUs, String requestId, Role role, long positionUs) {
-            return false;
-        }
-
         @Override
         public void onOutcome(
                 long nowUs,
@@ -185,12 +158,7 @@
         }
     }
 
-    /** Guards against old data that reaches the client before the router sees which server it is from. */
-    @Test
-    void responseThatTheRouterDoesNotLetPassIsDroppedAtItsEndOrAtTheBeginningOfALongOne() {
-        List<Router.Outcome> outcomes = new ArrayList<>();
-        EndingBackEnd backEnd = new EndingBackEnd();
-        Counters counters = new Counters();
+    private Broker broker(BackEnd backEnd, Counters counters, Function<Router.Actions, Router> routerFactory) {
         Broker broker = new Broker(
                 () -> nowUs,
                 deadlines,
@@ -198,9 +166,24 @@
                 backEnd,
                 settings(0),
                 16,
-                (given, actions) -> new DistrustfulRouter(actions, outcomes));
+                (given, actions) -> routerFactory.apply(actions));
         broker.updateMembers(
                 Router.ListKind.FULL, List.of(new Router.Member("a", 0, 0, 2, true, Router.State.UP, 1, 0)));
+        return broker;
+    }
+
+    /** Guards against old data that reaches the client before the router sees which server it is from. */
+    @Test
+    void responseThatTheRouterDoesNotLetPassIsDroppedAtItsEndOrAtTheBeginningOfALongOne() {
+        List<Router.Outcome> outcomes = new ArrayList<>();
+        EndingBackEnd backEnd = new EndingBackEnd();
+        Counters counters = new Counters();
+        Broker broker = broker(backEnd, counters, actions -> new SendingRouter(actions, outcomes) {
+            @Override
+            public boolean mayServe(long atUs, String requestId, Role role, long positionUs) {
+                return false;
+            }
+        });
         submit(broker, "short");
         backEnd.end(Router.Outcome.OK);
         submit(broker, "long");
