--- a/decisions/src/main/java/frostreel/routing/PeerRoles.java
+++ b/decisions/src/main/java/frostreel/routing/PeerRoles.java
@@ -13,21 +13,13 @@
     long NO_EVIDENCE = -1;
 
     /** The roles known to a pooler that never has a second process: its router knows all there is. */
-    PeerRoles NONE = new PeerRoles() {
-        @Override
-        public void refresh(long nowUs) {}
-
-        @Override
-        public void publish(long memberKey, Role role, long atUs) {}
-
-        @Override
-        public void read(long memberKey, Evidence result) {
-            result.set(NO_EVIDENCE, NO_EVIDENCE, true);
-        }
-    };
+    PeerRoles NONE = new Unshared(true);
 
     /** The roles known to a process that cannot exchange them with the others. */
-    PeerRoles UNKNOWN = new PeerRoles() {
+    PeerRoles UNKNOWN = new Unshared(false);
+
+    /** No roles of other processes; {@code complete}: whether that is all there is. */
+    record Unshared(boolean complete) implements PeerRoles {
         @Override
         public void refresh(long nowUs) {}
 
@@ -36,9 +28,9 @@
 
         @Override
         public void read(long memberKey, Evidence result) {
-            result.set(NO_EVIDENCE, NO_EVIDENCE, false);
+            result.set(NO_EVIDENCE, NO_EVIDENCE, complete);
         }
-    };
+    }
 
     /** The latest evidence for the role of one member; filled by {@link #read}, so that no object is allocated. */
     final class Evidence {
